--- a/crates/damaskd/src/caller/mod.rs
+++ b/crates/damaskd/src/caller/mod.rs
@@ -22,7 +22,10 @@
 
 use std::{
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use http::{
@@ -139,4 +142,12 @@
             Err(refusal) => self.refuse(&call, &refusal),
         }
     }
+
+    fn head_timeout(&self) -> Duration {
+        self.node.config.limits.head_timeout
+    }
+
+    fn closes(&self) -> bool {
+        self.node.is_stopping()
+    }
 }
--- a/crates/damaskd/src/daemon.rs
+++ b/crates/damaskd/src/daemon.rs
@@ -94,12 +94,11 @@
         let caller = tokio::net::TcpListener::from_std(caller)?;
         let operator = tokio::net::TcpListener::from_std(operator)?;
         let callers = tokio::spawn(http::serve(
-            node.clone(),
             caller,
             caller_plane,
             stopped.clone(),
         ));
-        let operators = tokio::spawn(http::serve(node.clone(), operator, operator_plane, stopped));
+        let operators = tokio::spawn(http::serve(operator, operator_plane, stopped));
         let reader = tokio::spawn(sync::run(node.clone()));
         let sweeper = node.clone();
         let sweeper = tokio::spawn(async move { claim::sweep::run(&sweeper).await });
--- a/crates/damaskd/src/lib.rs
+++ b/crates/damaskd/src/lib.rs
@@ -11,9 +11,10 @@
 pub mod control;
 pub mod daemon;
 pub mod feed;
-pub mod http;
 pub mod node;
 pub mod operator;
 pub mod peer;
 pub mod rights;
 pub mod sync;
+
+pub use router::http;
--- a/crates/damaskd/src/operator/mod.rs
+++ b/crates/damaskd/src/operator/mod.rs
@@ -5,7 +5,10 @@
 mod status;
 mod withdrawal;
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use http::{
     Method,
@@ -95,6 +98,14 @@
             Err(refusal) => answer_json(refusal.status, &refusal.body),
         }
     }
+
+    fn head_timeout(&self) -> Duration {
+        self.node.config.limits.head_timeout
+    }
+
+    fn closes(&self) -> bool {
+        self.node.is_stopping()
+    }
 }
 
 /// Begins the planned stop of this instance; only root may.
--- a/crates/damaskd/tests/lease.rs
+++ b/crates/damaskd/tests/lease.rs
@@ -10,7 +10,7 @@
     time::Duration, //
 };
 
-use damaskd::control::lease::Keeper;
+use router::lease::Keeper;
 use history::lease::{
     Look,
     Order,
@@ -127,7 +127,7 @@
     let term = Duration::from_millis(400);
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let process = table.process;
-    let mut keeper = Keeper::new(table, &format!("contender {process}"), term);
+    let mut keeper = Keeper::new(table, "leases/control", &format!("contender {process}"), term);
     let lease = Lease::default();
     for _ in 0..24 {
         // A fault is one of those that the test provokes.
--- a/crates/endpoint/src/connection.rs
+++ b/crates/endpoint/src/connection.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::{
+    HeaderName,
     Request,
     Response, //
 };
@@ -19,6 +20,7 @@
     }, //
 };
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
@@ -32,6 +34,14 @@
     Verdict, //
 };
 
+/// Silence after which the kernel asks whether the endpoint's host still lives; the least it takes.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Time between such questions; the least that the kernel takes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for sent bytes to be acknowledged before the connection is given up: several
+/// round trips and retransmissions between the domains of one region.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Where a request goes and what the endpoint is known to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -45,6 +55,7 @@
 #[derive(Debug)]
 pub struct Connection {
     target: Target,
+    id_header: HeaderName,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -98,9 +109,7 @@
             Ok(Err(error)) => return Err(fail(error.to_string())),
             Err(_) => return Err(fail(format!("no connection within {deadline:?}"))),
         };
-        stream
-            .set_nodelay(true)
-            .map_err(|error| fail(error.to_string()))?;
+        set_options(&stream).map_err(|error| fail(error.to_string()))?;
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|error| fail(error.to_string()))?;
@@ -108,11 +117,18 @@
         let task = tokio::spawn(connection).abort_handle();
         Ok(Self {
             target,
+            id_header: HeaderName::from_static(REQUEST_ID),
             sender,
             task,
         })
     }
 
+    /// Sets the header that identifies requests; `X-Request-Id` unless set.
+    pub fn identified_by(mut self, header: HeaderName) -> Self {
+        self.id_header = header;
+        self
+    }
+
     /// Where it leads.
     pub fn target(&self) -> Target {
         self.target
@@ -134,7 +150,7 @@
         deadline: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         let address = self.target.address;
-        let expected = request.headers().get(REQUEST_ID).cloned();
+        let expected = request.headers().get(&self.id_header).cloned();
         let failed = |verdict, fault| Failure {
             address,
             verdict,
@@ -158,7 +174,7 @@
                 return Err(SendError::Failed(failure));
             }
         };
-        let got = response.headers().get(REQUEST_ID);
+        let got = response.headers().get(&self.id_header);
         if self.target.echoes_id && got != expected.as_ref() {
             let text = |value: &http::HeaderValue| String::from_utf8_lossy(value.as_bytes()).into();
             let fault = Fault::Crossed {
@@ -170,3 +186,14 @@
         Ok(response)
     }
 }
+
+/// Sends at once, and notices a host that has vanished without a word.
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE)?;
+    sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
+    let timeout = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    sockopt::set_tcp_user_timeout(stream, timeout)?;
+    Ok(())
+}
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod chat;
 pub mod connection;
+pub mod events;
 pub mod order;
 pub mod pool;
 pub mod stream;
--- a/crates/endpoint/src/order.rs
+++ b/crates/endpoint/src/order.rs
@@ -138,22 +138,51 @@
     F: Fn() -> bool + Unpin + 'static,
 {
     let bytes = Bytes::from(serde_json::to_vec(order).unwrap_or_default());
-    let body = Timed {
-        bytes: Some(bytes),
-        in_time,
-    };
     let request = Request::post("/v1/orders")
         .header(http::header::HOST, address.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
-        .body(body)
+        .body(bytes)
         .map_err(|error| unsent(address, error))?;
-    let (status, _) = call(address, request).await?;
+    let status = give(address, request, in_time).await?;
     if status == StatusCode::ACCEPTED {
         return Ok(Outcome::Taken);
     }
     Ok(Outcome::Refused(status.as_u16()))
 }
 
+/// Gives an order in any protocol, if `in_time` says so when its body is about to go out.
+///
+/// # Errors
+///
+/// As [`send`].
+pub async fn give<F>(
+    address: SocketAddr,
+    order: Request<Bytes>,
+    in_time: F,
+) -> Result<StatusCode, Failure>
+where
+    F: Fn() -> bool + Unpin + 'static,
+{
+    let order = order.map(|bytes| Timed {
+        bytes: Some(bytes),
+        in_time,
+    });
+    let (status, _) = call(address, order).await?;
+    Ok(status)
+}
+
+/// Asks an endpoint about itself over a connection of its own.
+///
+/// # Errors
+///
+/// If no whole answer came within [`LIFE`].
+pub async fn ask(
+    address: SocketAddr,
+    question: Request<Empty<Bytes>>,
+) -> Result<(StatusCode, Bytes), Failure> {
+    call(address, question).await
+}
+
 /// Asks an engine for the state of its weights.
 ///
 /// # Errors
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use http::{
+    HeaderName,
     Request,
     Response,
     response::Parts, //
@@ -32,6 +33,7 @@
     Connection,
     Failure,
     Fault,
+    REQUEST_ID,
     Target,
     Verdict,
     connection::SendError, //
@@ -43,9 +45,16 @@
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// Idle connections by endpoint address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     idle: Mutex<Table>,
+    id_header: HeaderName,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new(HeaderName::from_static(REQUEST_ID))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -133,6 +142,14 @@
 }
 
 impl Pool {
+    /// A pool for endpoints that identify requests by `id_header`.
+    pub fn new(id_header: HeaderName) -> Self {
+        Self {
+            idle: Mutex::default(),
+            id_header,
+        }
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// An idle connection that turns out to be closed before any byte was sent
@@ -156,7 +173,8 @@
                 Err(SendError::Failed(failure)) => return Err(failure),
             }
         }
-        let mut connection = Connection::open(target, options.connect).await?;
+        let connection = Connection::open(target, options.connect).await?;
+        let mut connection = connection.identified_by(self.id_header.clone());
         let response = connection.send(request, options.answer).await?;
         Ok(self.answer(connection, response))
     }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -28,6 +28,12 @@
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
+/// Silence after which the kernel asks whether the service's host still lives, and the time
+/// between such questions; the least it takes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Unanswered questions after which a connection is given up.
+const KEEPALIVE_RETRIES: u32 = 1;
+
 /// Why a request to the platform gave no answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Error)]
@@ -91,6 +97,9 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(deadline));
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         Self {
             pool: Pool::builder(TokioExecutor::new()).build(connector),
             deadline,
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -2,13 +2,15 @@
 
 use std::{
     future::Future,
-    net::SocketAddr, //
+    net::SocketAddr,
+    time::Duration, //
 };
 
 use bytes::Bytes;
 use http::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use thiserror::Error;
 
 use crate::http::{
     Client,
@@ -132,6 +134,54 @@
     fn transact(&self, txn: Txn) -> impl Future<Output = Result<Outcome, Fault>> + Send;
 }
 
+/// One row that has changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// Key of the row.
+    pub key: String,
+    /// New value; `None` if the row was deleted.
+    pub value: Option<Vec<u8>>,
+    /// Table revision of the change.
+    pub revision: u64,
+}
+
+/// Changes in the order in which they were made.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    /// Table revision up to which the changes are complete; where to continue.
+    pub revision: u64,
+    /// The changes; empty if there were none in time.
+    pub rows: Vec<Change>,
+}
+
+/// Why no changes were read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
+pub enum WatchFault {
+    /// The table no longer has the history that was asked for; read the rows anew.
+    #[error("the table has dropped the history after revision {0}")]
+    Compacted(u64),
+    /// The table gave no answer.
+    #[error(transparent)]
+    Fault(#[from] Fault),
+}
+
+/// A table that tells of changes.
+pub trait Watch: Table {
+    /// Waits up to `wait` for changes, after revision `after`, of rows whose keys start with
+    /// `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// [`WatchFault::Compacted`] if changes may have been missed.
+    fn changes(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes, WatchFault>> + Send;
+}
+
 /// The table behind an HTTP address.
 #[derive(Clone, Debug)]
 pub struct Remote {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod load;
 pub mod prefix;
 pub mod rank;
+pub mod repeat;
 pub mod retry;
 pub mod rights;
 pub mod rollout;
+pub mod share;
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -8,6 +8,9 @@
 /// Bytes of prompt in one cache block: about two thousand tokens of four bytes.
 pub const BLOCK_BYTES: usize = 8192;
 
+/// Tokens in one cache block.
+pub const BLOCK_TOKENS: u64 = 2048;
+
 /// What keeps cache entries apart: a block is shared only within one root.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Root<'a> {
@@ -63,4 +66,30 @@
         let tail = (prompt.len() % BLOCK_BYTES) as f32 / BLOCK_BYTES as f32;
         Self { levels, tail }
     }
+
+    /// Hashes the blocks of a prompt that is given by its parts, each an id with its tokens, below
+    /// `salt`; the part that comes last is the request's own and is not shared.
+    ///
+    /// A part shorter than a block is no level: computing it anew costs less than a look.
+    pub fn of_parts(salt: u64, parts: impl ExactSizeIterator<Item = (u64, u64)>) -> Self {
+        let mut previous = salt;
+        let mut levels = Vec::new();
+        let mut tail = 0;
+        let last = parts.len().saturating_sub(1);
+        for (index, (id, tokens)) in parts.enumerate() {
+            let blocks = if index == last { 0 } else { tokens / BLOCK_TOKENS };
+            for block in 0..blocks {
+                let mut hasher = Xxh3::with_seed(previous);
+                hasher.update(&id.to_le_bytes());
+                hasher.update(&block.to_le_bytes());
+                previous = hasher.digest();
+                levels.push(previous);
+            }
+            tail += tokens - blocks * BLOCK_TOKENS;
+        }
+        Self {
+            levels,
+            tail: tail as f32 / BLOCK_TOKENS as f32,
+        }
+    }
 }
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -22,12 +22,28 @@
 /// most half of the model's engines are out at once, one of a single one. The
 /// seed says where to begin, so that one that refuses holds up no others.
 pub fn pick(engines: &[Weights], loading: usize, seed: usize) -> Vec<usize> {
+    pick_within(engines, loading, MAX_LOADING, seed)
+}
+
+/// Engines that may load at the same time where weights come from a store that serves a fifth of
+/// the fleet at full speed.
+pub fn most_loading(engines: usize) -> usize {
+    (engines / 5).max(MAX_LOADING)
+}
+
+/// As [`pick`], with at most `most_loading` engines that load at the same time.
+pub fn pick_within(
+    engines: &[Weights],
+    loading: usize,
+    most_loading: usize,
+    seed: usize,
+) -> Vec<usize> {
     let out = engines
         .iter()
         .filter(|w| matches!(w, Weights::Loading | Weights::Unknown))
         .count();
     let most = (engines.len() / 2).max(1);
-    let room = MAX_LOADING
+    let room = most_loading
         .saturating_sub(loading)
         .min(most.saturating_sub(out));
     let length = engines.len().max(1);
--- /dev/null
+++ b/crates/router/src/admit.rs
@@ -0,0 +1,197 @@
+//! Accepts a request: head, key, route, body and quota.
+
+use std::{
+    sync::Arc,
+    time::Instant, //
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    Request,
+    header,
+    request::Parts, //
+};
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::body::Incoming;
+use state::clock;
+
+use crate::{
+    catalog::{
+        Catalog,
+        Route,
+        Workspace, //
+    },
+    node::Node,
+    protocol::{
+        Ask,
+        Protocol, //
+    },
+    quota::Charge,
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+    request::{
+        Call,
+        Content, //
+    }, //
+};
+
+/// When to come back while no configuration is known; a restart takes about as long.
+const NOT_READY_RETRY: std::time::Duration = std::time::Duration::from_millis(300);
+
+/// A request that may be sent, with what it has taken of its workspace's share.
+#[derive(Debug)]
+pub struct Admitted {
+    /// The request.
+    pub call: Call,
+    /// Given back unless the request reaches an endpoint.
+    pub charge: Option<Charge>,
+}
+
+/// Takes a request in.
+///
+/// # Errors
+///
+/// The refusal that the caller gets.
+pub async fn accept<P: Protocol>(
+    node: &Node<P>,
+    ask: Ask,
+    request: Request<Incoming>,
+) -> Result<Admitted, Refusal> {
+    let arrived = Instant::now();
+    let Some(catalog) = node.catalog.load_full() else {
+        let message = "no configuration is known yet; come back or use another instance";
+        return Err(Refusal::not_run(Reason::NotReady, message).retry_after(NOT_READY_RETRY));
+    };
+    let (parts, body) = request.into_parts();
+    let (route, workspace) = authorize(&catalog, &ask, &parts)?;
+    let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    let until = arrived + patience;
+    let body = read(body, catalog.limits.max_body_bytes, until).await?;
+    let call = Call {
+        service: route.service(rand::random()).clone(),
+        content: content::<P>(parts, body),
+        ask,
+        arrived,
+        until,
+        catalog,
+        route,
+        workspace,
+    };
+    let charge = charge(node, &call)?;
+    Ok(Admitted { call, charge })
+}
+
+fn authorize(
+    catalog: &Catalog,
+    ask: &Ask,
+    parts: &Parts,
+) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Refusal> {
+    let path = parts.uri.path();
+    let Some(route) = catalog.route(host(&parts.headers)?, path) else {
+        let message = format!("no route for {} {path}", parts.method);
+        return Err(Refusal::not_run(Reason::NoRoute, message));
+    };
+    if route.open || !catalog.keyed {
+        return Ok((route.clone(), None));
+    }
+    let workspace = ask.key.as_ref().and_then(|key| catalog.workspace(key));
+    let Some(workspace) = workspace else {
+        let message = "no key, or one that is not in force; ask your operator for one";
+        return Err(Refusal::not_run(Reason::KeyUnknown, message));
+    };
+    Ok((route.clone(), Some(workspace.clone())))
+}
+
+/// The host without its port; two `Host` headers are refused, since hops could read either.
+fn host(headers: &HeaderMap) -> Result<&str, Refusal> {
+    let malformed = |message| Refusal::not_run(Reason::Malformed, message);
+    let mut values = headers.get_all(header::HOST).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Err(malformed("send exactly one Host header"));
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| malformed("the Host header is not text"))?;
+    Ok(text.split(':').next().unwrap_or_default())
+}
+
+async fn read(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, Refusal> {
+    let collected = Limited::new(body, limit).collect();
+    match tokio::time::timeout_at(until.into(), collected).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let message = format!("the body is larger than {limit} bytes; send a smaller one");
+            Err(Refusal::not_run(Reason::BodyTooLarge, message))
+        }
+        Ok(Err(error)) => {
+            let message = format!("the body does not read: {error}");
+            Err(Refusal::not_run(Reason::Malformed, message))
+        }
+        Err(_) => {
+            let message = "the body did not arrive within the request's time";
+            Err(Refusal::not_run(Reason::BodyTimeout, message))
+        }
+    }
+}
+
+/// What endpoints get: without the caller's key and what concerns only its connection.
+fn content<P: Protocol>(parts: Parts, body: Bytes) -> Content {
+    let mut headers = HeaderMap::with_capacity(parts.headers.len());
+    for (name, value) in &parts.headers {
+        let listed = is_listed(&parts.headers, name.as_str());
+        if !listed && !is_of_connection(name) && P::passes_in(name) {
+            headers.append(name, value.clone());
+        }
+    }
+    Content {
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+    }
+}
+
+/// Whether a header concerns only one connection.
+pub fn is_of_connection(name: &http::HeaderName) -> bool {
+    const NAMES: [http::HeaderName; 8] = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::PROXY_AUTHORIZATION,
+    ];
+    NAMES.contains(name) || name == "keep-alive" || name == "proxy-connection"
+}
+
+/// Whether the `Connection` header names `name` as one that concerns only this connection.
+fn is_listed(headers: &HeaderMap, name: &str) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    texts
+        .flat_map(|text| text.split(','))
+        .any(|listed| listed.trim().eq_ignore_ascii_case(name))
+}
+
+fn charge<P: Protocol>(node: &Node<P>, call: &Call) -> Result<Option<Charge>, Refusal> {
+    let Some(workspace) = &call.workspace else {
+        return Ok(None);
+    };
+    let units = call.units(workspace);
+    let charged = node
+        .quotas
+        .charge(workspace, units, node.sharers(), clock::now());
+    charged.map_err(|wait| {
+        let message = format!("workspace {} has used its share", workspace.name);
+        Refusal::not_run(Reason::RateExceeded, message).retry_after(wait)
+    })
+}
--- /dev/null
+++ b/crates/router/src/attempt.rs
@@ -0,0 +1,299 @@
+//! The attempts of one request, and what they say together about whether it may have run.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use endpoint::{
+    Answer,
+    Failure,
+    Fault,
+    Options,
+    Target,
+    Verdict, //
+};
+use telemetry::{
+    emit,
+    event, //
+};
+
+use crate::{
+    choose::{
+        self,
+        Chosen, //
+    },
+    node::Node,
+    protocol::{
+        Attempt,
+        Engine,
+        Protocol,
+        Reply,
+        Unrun, //
+    },
+    quota::Charge,
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+    request::Call, //
+};
+
+/// Most endpoints that one request is sent to, those that did not run it included.
+const MAX_SENDS: u32 = 5;
+/// Longest time for a connection to an endpoint: many round trips within a region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Least time left for which a request is sent to an endpoint.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
+/// When to come back after the request's time has run out.
+const DEADLINE_RETRY: Duration = Duration::from_millis(500);
+
+/// What became of the attempts so far.
+///
+/// # Invariants
+///
+/// `verdict` only ever rises: no later attempt can make an earlier one unsent.
+#[derive(Debug)]
+pub struct Attempts {
+    /// What the request has taken of its workspace's share.
+    charge: Option<Charge>,
+    /// Endpoints that it was sent to.
+    sends: u32,
+    /// Endpoints on which it may have run.
+    runs: u32,
+    /// Whether the last attempt reached its endpoint.
+    arrived: bool,
+    tried: Vec<Arc<str>>,
+    verdict: Verdict,
+    last: Option<Failure>,
+}
+
+/// An answer whose head has arrived.
+#[derive(Debug)]
+pub struct Begun {
+    /// The endpoint that answers.
+    pub chosen: Chosen,
+    /// Head, body and connection.
+    pub answer: Answer,
+    /// What the head says.
+    pub reply: Reply,
+}
+
+impl Attempts {
+    /// No attempt yet.
+    pub fn new(charge: Option<Charge>) -> Self {
+        Self {
+            charge,
+            sends: 0,
+            runs: 0,
+            arrived: false,
+            tried: Vec::new(),
+            verdict: Verdict::NotRun,
+            last: None,
+        }
+    }
+
+    /// Sends the request to one endpoint after another until one answers, as far as that is safe.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the caller gets, with the verdict of all attempts together.
+    pub async fn send<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        last_event: Option<u64>,
+    ) -> Result<Begun, Refusal> {
+        loop {
+            if call.time_left() < MIN_TIME_LEFT {
+                return Err(self.out_of_time());
+            }
+            let chosen = match choose::choose(node, call, &self.tried) {
+                Ok(chosen) => chosen,
+                Err(refusal) => return Err(self.refuse(refusal)),
+            };
+            self.count(node, call);
+            match self.attempt(node, call, &chosen, last_event).await {
+                Ok((answer, reply)) => {
+                    return Ok(Begun {
+                        chosen,
+                        answer,
+                        reply,
+                    });
+                }
+                Err(failure) => self.fail(node, call, &chosen, failure),
+            }
+            if !self.may_go_on(node, call) {
+                return Err(self.give_up(call));
+            }
+        }
+    }
+
+    fn count<P: Protocol>(&mut self, node: &Node<P>, call: &Call) {
+        if self.sends == 0 {
+            node.attempted(&call.service);
+        }
+        self.sends += 1;
+    }
+
+    async fn attempt<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        chosen: &Chosen,
+        last_event: Option<u64>,
+    ) -> Result<(Answer, Reply), Failure> {
+        let registration = &chosen.endpoint.registration;
+        let target = Target {
+            address: registration.address,
+            echoes_id: true,
+        };
+        let time_left = call.time_left();
+        let attempt = Attempt {
+            endpoint: &registration.name,
+            time_left,
+            workspace: call.workspace.as_ref().map(|w| &*w.name),
+            engine: (chosen.version > 0).then(|| Engine {
+                salt: call.salt(chosen.version),
+                version: chosen.version,
+                priority: call.priority(),
+                fetch_from: None,
+            }),
+            last_event,
+        };
+        let options = Options {
+            connect: CONNECT_TIMEOUT.min(time_left),
+            answer: time_left,
+            reuse: call.is_repeatable(),
+        };
+        let request = call.outgoing::<P>(target, &attempt)?;
+        let answer = node.pool.send(target, request, options).await?;
+        let reply = P::reply(&answer.head, &registration.name);
+        let failed = |verdict| Failure {
+            address: target.address,
+            verdict,
+            fault: Fault::Refused(answer.head.status.as_u16()),
+        };
+        if let Some(unrun) = reply.unrun {
+            self.learn_unrun(node, chosen, unrun);
+            return Err(failed(Verdict::NotRun));
+        }
+        if !reply.authentic {
+            return Err(failed(Verdict::MayHaveRun));
+        }
+        if let Some(version) = reply.version {
+            chosen.endpoint.hear_version(version);
+        }
+        self.note_run();
+        Ok((answer, reply))
+    }
+
+    fn learn_unrun<P: Protocol>(&self, node: &Node<P>, chosen: &Chosen, unrun: Unrun) {
+        match unrun {
+            Unrun::Busy | Unrun::Malformed => chosen.was_busy(node),
+            Unrun::OtherWeights => chosen.has_other_weights(node),
+            Unrun::Moved => chosen.failed(node),
+        }
+    }
+
+    /// Notes that an endpoint works on the request, or may.
+    fn note_run(&mut self) {
+        self.runs += 1;
+        self.verdict = Verdict::MayHaveRun;
+        if let Some(charge) = &mut self.charge {
+            charge.spend();
+        }
+    }
+
+    fn fail<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        chosen: &Chosen,
+        failure: Failure,
+    ) {
+        let name = &chosen.endpoint.registration.name;
+        emit!(
+            info,
+            event::ENDPOINT_FAULT,
+            request = call.ask.id.to_str().unwrap_or_default(),
+            endpoint = &**name,
+            verdict = failure.verdict.as_str(),
+            version = chosen.version,
+            reason = %failure.fault,
+        );
+        self.arrived = !matches!(failure.fault, Fault::Connect(_));
+        if failure.verdict != Verdict::NotRun {
+            self.note_run();
+            chosen.failed(node);
+        } else if !self.arrived {
+            chosen.failed(node);
+        }
+        self.tried.push(name.clone());
+        self.last = Some(failure);
+    }
+
+    /// Notes that an answer that had begun broke off.
+    pub fn broke_off<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        chosen: &Chosen,
+        failure: Failure,
+    ) {
+        // The run itself was counted when the answer began.
+        self.runs = self.runs.saturating_sub(1);
+        self.fail(node, call, chosen, failure);
+    }
+
+    /// Whether another attempt may follow.
+    pub fn may_go_on<P: Protocol>(&self, node: &Node<P>, call: &Call) -> bool {
+        let harmless = self.verdict == Verdict::NotRun
+            || (call.is_repeatable() && self.runs < call.route.max_runs);
+        let in_time = self.sends < MAX_SENDS && call.time_left() >= MIN_TIME_LEFT;
+        harmless && in_time && (!self.arrived || node.may_repeat(&call.service))
+    }
+
+    /// The refusal after the last failure.
+    pub fn give_up(&self, call: &Call) -> Refusal {
+        if call.time_left().is_zero() {
+            return self.out_of_time();
+        }
+        let reason = match self.verdict {
+            Verdict::NotRun => Reason::NoEndpoint,
+            Verdict::MayHaveRun | Verdict::Ran => Reason::EndpointFailed,
+        };
+        let message = match &self.last {
+            Some(failure) => failure.fault.to_string(),
+            None => "nothing was tried".to_owned(),
+        };
+        self.refuse(Refusal::not_run(reason, message).retry_after(DEADLINE_RETRY))
+    }
+
+    fn out_of_time(&self) -> Refusal {
+        let message = "the time for the request has run out";
+        self.refuse(
+            Refusal::not_run(Reason::DeadlineExceeded, message).retry_after(DEADLINE_RETRY),
+        )
+    }
+
+    /// A refusal with the verdict of all attempts together.
+    fn refuse(&self, mut refusal: Refusal) -> Refusal {
+        refusal.verdict = refusal.verdict.worst(self.verdict);
+        refusal
+    }
+}
+
+impl Attempts {
+    /// Notes a whole answer that tells of an error; the endpoint is not asked again.
+    pub fn note_error(&mut self, chosen: &Chosen, fault: Fault) {
+        let registration = &chosen.endpoint.registration;
+        self.arrived = true;
+        self.tried.push(registration.name.clone());
+        self.last = Some(Failure {
+            address: registration.address,
+            verdict: Verdict::Ran,
+            fault,
+        });
+    }
+}
--- /dev/null
+++ b/crates/router/src/choose.rs
@@ -0,0 +1,257 @@
+//! Chooses the endpoint for an attempt and learns from what becomes of it.
+
+use std::{
+    cell::RefCell,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use policy::{
+    belief::{
+        Holder,
+        Millis, //
+    },
+    choice::{
+        self,
+        Candidate,
+        Choice,
+        Request,
+        Scratch, //
+    }, //
+};
+use state::{
+    clock,
+    flight::Slot,
+    health, //
+};
+
+use crate::{
+    fleet::Endpoint,
+    node::{
+        Node,
+        Wanted, //
+    },
+    protocol::Protocol,
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+    request::Call, //
+};
+
+/// When to come back after no endpoint could take a request: engines that load weights are back
+/// within about this time.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(500);
+/// Part of the objective by which an answer on old weights is held later than it is: the users
+/// value it a fifth less.
+const OLD_WEIGHTS_PART: f32 = 0.2;
+/// Time before the end of the old weights' term in which no request begins on them any more; it
+/// may take as long to begin.
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_000);
+/// Age at which half of the blocks are taken for evicted: engines keep what was used within
+/// about a minute.
+const CACHE_HORIZON: Millis = 30_000;
+
+thread_local! {
+    static SCRATCH: RefCell<Scratch> = RefCell::default();
+}
+
+/// An endpoint with the slot that counts the request there.
+#[derive(Debug)]
+pub struct Chosen {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// Weights version that it is asked for; 0 for plain services.
+    pub version: u64,
+    slot: Slot,
+    known: Arc<health::Endpoint>,
+    holder: Holder,
+    choice: Choice,
+    levels: Vec<u64>,
+    sent: Instant,
+}
+
+/// A candidate with what belongs to it.
+struct Eligible {
+    endpoint: Arc<Endpoint>,
+    known: Arc<health::Endpoint>,
+    view: health::View,
+    is_old: bool,
+}
+
+/// Picks an endpoint of the call's service that is not in `tried`.
+///
+/// # Errors
+///
+/// If no endpoint can take it.
+pub fn choose<P: Protocol>(
+    node: &Node<P>,
+    call: &Call,
+    tried: &[Arc<str>],
+) -> Result<Chosen, Refusal> {
+    let wanted = call.ask.model.as_deref().and_then(|m| node.wanted(m));
+    let now = node.beliefs.now();
+    let mut eligible = eligible(node, call, wanted.as_ref(), tried, now);
+    // An endpoint that may be down is better than none.
+    if eligible.iter().any(|e| e.view.usable) {
+        eligible.retain(|e| e.view.usable);
+    }
+    if eligible.iter().any(|e| !e.endpoint.is_loading()) {
+        eligible.retain(|e| !e.endpoint.is_loading());
+    }
+    let chain = call.chain();
+    let request = Request {
+        levels: &chain.levels,
+        tail: chain.tail,
+        now,
+        seed: rand::random(),
+    };
+    let objective = call.route.objective.as_secs_f32();
+    let Some(choice) = pick(node, call, &eligible, objective, &request) else {
+        let message = format!("service {} has no endpoint to try", call.service);
+        let refusal = Refusal::not_run(Reason::NoEndpoint, message);
+        return Err(refusal.retry_after(NO_ENDPOINT_RETRY));
+    };
+    let Eligible {
+        endpoint,
+        known,
+        view,
+        ..
+    } = eligible.swap_remove(choice.index);
+    known.learn(|estimate| estimate.breaker.sent(now));
+    node.beliefs.raise(&chain.levels, view.holder);
+    Ok(Chosen {
+        version: endpoint.version(),
+        slot: known.count.enter(call.class(), choice.missed),
+        endpoint,
+        holder: view.holder,
+        known,
+        choice,
+        levels: chain.levels,
+        sent: Instant::now(),
+    })
+}
+
+fn eligible<P: Protocol>(
+    node: &Node<P>,
+    call: &Call,
+    wanted: Option<&Wanted>,
+    tried: &[Arc<str>],
+    now: Millis,
+) -> Vec<Eligible> {
+    let fleet = node.endpoints.fleet();
+    let term = node.config.bounds.weights.saturating_sub(OLD_WEIGHTS_MARGIN);
+    let old_ended = wanted.is_some_and(|w| clock::now().saturating_sub(w.since) > term);
+    let of_service = fleet.of_service(&call.service).iter();
+    let fits = |endpoint: &&Arc<Endpoint>| {
+        let registration = &endpoint.registration;
+        let model = call.ask.model.as_deref();
+        let serves = model.is_none() || endpoint.model().map(|m| &**m) == model;
+        serves && !registration.leaving && !tried.contains(&registration.name)
+    };
+    let look = |endpoint: &Arc<Endpoint>| {
+        let is_old = wanted.is_some_and(|w| endpoint.version() < w.version);
+        if is_old && old_ended {
+            return None;
+        }
+        let known = node.health.endpoint(&endpoint.registration.name);
+        identify(endpoint, &known);
+        let version = version_text(endpoint.version());
+        let view = known.view(&version, now);
+        Some(Eligible {
+            endpoint: endpoint.clone(),
+            known,
+            view,
+            is_old,
+        })
+    };
+    of_service.filter(fits).filter_map(look).collect()
+}
+
+/// Tells the table of estimates which life and version of the endpoint is meant, when it changes.
+fn identify(endpoint: &Endpoint, known: &health::Endpoint) {
+    let version = endpoint.version();
+    if endpoint.identified.swap(version, Ordering::Relaxed) == version {
+        return;
+    }
+    let incarnation = endpoint.registration.incarnation.to_string();
+    known.identify(&incarnation, &version_text(version));
+    known.learn(|estimate| estimate.horizon = CACHE_HORIZON);
+}
+
+/// Plain services have no version.
+fn version_text(version: u64) -> String {
+    if version == 0 {
+        return String::new();
+    }
+    version.to_string()
+}
+
+fn pick<P: Protocol>(
+    node: &Node<P>,
+    call: &Call,
+    eligible: &[Eligible],
+    objective: f32,
+    request: &Request<'_>,
+) -> Option<Choice> {
+    let class = call.class();
+    let candidate = |e: &Eligible| {
+        let block_seconds = e.view.estimate.block_seconds;
+        let old = objective * OLD_WEIGHTS_PART / block_seconds;
+        Candidate {
+            name: "",
+            hash: e.known.hash,
+            holder: e.view.holder,
+            in_flight: e.known.count.running(),
+            ahead: e.known.count.ahead(class),
+            reported: 0.0,
+            block_seconds,
+            horizon: e.view.estimate.horizon,
+            doubt: if e.is_old { old } else { 0.0 },
+            harm: e.known.count.more_urgent(class) as f32,
+        }
+    };
+    let candidates: Vec<Candidate<'_>> = eligible.iter().map(candidate).collect();
+    SCRATCH.with_borrow_mut(|scratch| {
+        let pick = |beliefs: &_| choice::pick(&candidates, beliefs, request, scratch);
+        node.beliefs.read(pick)
+    })
+}
+
+impl Chosen {
+    /// Learns from the first byte or event of the answer.
+    pub fn began(&self) {
+        let elapsed = self.sent.elapsed().as_secs_f32();
+        let choice = &self.choice;
+        self.known.learn(|estimate| {
+            estimate.breaker.succeeded();
+            estimate.began(elapsed, choice.wait, choice.missed);
+        });
+        self.slot.began();
+    }
+
+    /// Learns that the endpoint could not be used, or broke off.
+    pub fn failed<P: Protocol>(&self, node: &Node<P>) {
+        let now = node.beliefs.now();
+        node.beliefs.lower(&self.levels, self.holder);
+        self.known.learn(|estimate| estimate.breaker.failed(now));
+    }
+
+    /// Learns that the endpoint serves other weights than it was asked for.
+    pub fn has_other_weights<P: Protocol>(&self, node: &Node<P>) {
+        let now = node.beliefs.now();
+        node.beliefs.lower(&self.levels, self.holder);
+        self.known.refused(&version_text(self.version), now);
+    }
+
+    /// Learns that the endpoint had no room; nothing was cached.
+    pub fn was_busy<P: Protocol>(&self, node: &Node<P>) {
+        node.beliefs.lower(&self.levels, self.holder);
+    }
+}
--- /dev/null
+++ b/crates/router/src/config.rs
@@ -0,0 +1,130 @@
+//! Settings of one instance, from a JSON file.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    time::Duration, //
+};
+
+use anyhow::{
+    Context,
+    anyhow,
+    bail, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_with::{
+    DurationMilliSeconds,
+    DurationSeconds,
+    serde_as, //
+};
+
+/// Settings of one instance.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Name, unique among instances.
+    pub name: String,
+    /// Failure domain in which this instance runs.
+    pub domain: String,
+    /// Listening addresses.
+    pub listen: Listen,
+    /// Peer-plane addresses to ask for the last known state at start.
+    #[serde(default)]
+    pub peer_seeds: Vec<SocketAddr>,
+    /// Address of the platform's table.
+    pub table: SocketAddr,
+    /// Bounds that the deployment sets.
+    pub bounds: Bounds,
+}
+
+/// Listening addresses of one instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Requests of callers.
+    pub callers: SocketAddr,
+    /// Questions for the instances to connect to.
+    pub directory: SocketAddr,
+    /// Readiness probes and metrics.
+    pub probes: SocketAddr,
+    /// Other instances.
+    pub peers: SocketAddr,
+}
+
+/// Bounds that the deployment sets.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time after SIGTERM at which the process is killed, in seconds.
+    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde(rename = "stop_s")]
+    pub stop: Duration,
+    /// How long the lease for orders lasts without a renewal, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "lease_ms")]
+    pub lease: Duration,
+    /// Whether engines refuse orders with an old fencing number.
+    pub engines_check_fences: bool,
+    /// Time after which no request may begin on weights older than the named ones, in
+    /// milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "weights_ms")]
+    pub weights: Duration,
+    /// Repeats allowed for each first attempt, in all.
+    pub retry_ratio: f64,
+    /// Repeats allowed beyond the ratio in one window, in all.
+    pub retry_slack: f64,
+    /// Longest time that callers keep the answer of the directory, in seconds.
+    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde(rename = "address_ttl_s")]
+    pub address_ttl: Duration,
+}
+
+impl Config {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the field and the remedy.
+    pub fn read(path: &Path) -> anyhow::Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("{}: cannot be read", path.display()))?;
+        Self::parse(&text).with_context(|| format!("{}: refused", path.display()))
+    }
+
+    /// Parses and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the field and the remedy.
+    pub fn parse(text: &str) -> anyhow::Result<Self> {
+        let mut reader = serde_json::Deserializer::from_str(text);
+        let config: Self = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|error| anyhow!("field {}: {}", error.path(), error.inner()))?;
+        reader
+            .end()
+            .map_err(|error| anyhow!("text after the settings: {error}; remove it"))?;
+        config.check()?;
+        Ok(config)
+    }
+
+    fn check(&self) -> anyhow::Result<()> {
+        if self.name.is_empty() {
+            bail!("name is empty; give each instance a name of its own");
+        }
+        if self.bounds.lease.is_zero() {
+            bail!("bounds.lease_ms is 0; use 1 or more");
+        }
+        if self.bounds.retry_ratio < 0.0 || self.bounds.retry_slack < 0.0 {
+            bail!("bounds.retry_ratio and bounds.retry_slack must not be negative");
+        }
+        Ok(())
+    }
+}
--- a/crates/damaskd/src/http.rs
+++ b/crates/router/src/http.rs
@@ -1,4 +1,4 @@
-//! Bodies and listeners common to the caller and operator planes.
+//! Bodies and listeners common to all planes that speak HTTP.
 
 use std::{
     convert::Infallible,
@@ -8,7 +8,8 @@
     task::{
         Context,
         Poll, //
-    }, //
+    },
+    time::Duration, //
 };
 
 use bytes::Bytes;
@@ -52,8 +53,6 @@
     }, //
 };
 
-use crate::node::Node;
-
 /// Why a streamed body ends without being complete; the connection is closed.
 #[derive(Clone, Debug)]
 #[derive(thiserror::Error)]
@@ -160,11 +159,16 @@
         &self,
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Body>> + Send + '_;
+
+    /// Longest time for a request's head, and so for which a connection may be idle.
+    fn head_timeout(&self) -> Duration;
+
+    /// Whether callers are told with each answer to use another connection.
+    fn closes(&self) -> bool;
 }
 
 /// Serves a plane until `stop` turns true, then lets running requests end.
 pub async fn serve<S: Service>(
-    node: Arc<Node>,
     listener: TcpListener,
     service: Arc<S>,
     mut stop: watch::Receiver<bool>,
@@ -176,37 +180,35 @@
             _ = stop.wait_for(|stop| *stop) => break,
         };
         match accepted {
-            Ok((stream, _)) => spawn(&node, stream, service.clone(), &graceful),
+            Ok((stream, _)) => spawn(stream, service.clone(), &graceful),
             Err(error) => {
                 emit!(warn, event::CONNECTION_FAULT, reason = %error);
                 // Accepting fails when descriptors run out; a pause lets some be freed.
-                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                tokio::time::sleep(Duration::from_millis(10)).await;
             }
         }
     }
     // Connections that the system has already set up would be cut with the listener.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        spawn(&node, stream, service.clone(), &graceful);
+        spawn(stream, service.clone(), &graceful);
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
 fn spawn<S: Service>(
-    node: &Arc<Node>,
     stream: TcpStream,
     service: Arc<S>,
     graceful: &GracefulShutdown,
 ) {
     // A refused option costs latency only.
     stream.set_nodelay(true).ok();
-    let stopping = node.clone();
+    let head_timeout = service.head_timeout();
     let answer = service_fn(move |request| {
         let service = service.clone();
-        let node = stopping.clone();
         async move {
             let mut response = service.answer(request).await;
-            if node.is_stopping() {
+            if service.closes() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -215,7 +217,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(node.config.limits.head_timeout)
+        .header_read_timeout(head_timeout)
         .serve_connection(TokioIo::new(stream), answer);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
--- a/crates/damaskd/src/control/lease.rs
+++ b/crates/router/src/lease.rs
@@ -15,7 +15,6 @@
     Sighting,
     holder_until, //
 };
-use rand::Rng;
 use serde::{
     Deserialize,
     Serialize, //
@@ -27,16 +26,9 @@
         Lease, //
     }, //
 };
-use telemetry::{
-    emit,
-    event, //
-};
-
-use crate::node::Node;
 
-const KEY: &str = "leases/control";
 /// Renewals in one term, so that a few may fail.
-const RENEWALS: u32 = 4;
+pub const RENEWALS: u32 = 4;
 
 /// The row of the lease.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -59,6 +51,8 @@
 #[derive(Debug)]
 pub struct Keeper<T> {
     table: T,
+    /// Key of the lease's row.
+    key: &'static str,
     name: String,
     term: Duration,
     /// The last write, applied or not.
@@ -66,29 +60,12 @@
     seen: Option<Sighting>,
 }
 
-/// Takes or renews the lease until the task is aborted.
-pub async fn run(node: &Node) {
-    let term = node.config.limits.lease_term;
-    let mut keeper = Keeper::new(node.table.clone(), &node.config.name, term);
-    loop {
-        if let Err(fault) = keeper.step(&node.lease).await {
-            emit!(debug, event::LEASE_FAULT, reason = %fault);
-        }
-        let interval = match node.lease.check(Duration::ZERO) {
-            Some(_) => term / RENEWALS,
-            // Fewer looks of each as there are more, and not all at once.
-            None => term / RENEWALS * node.reader_share(),
-        };
-        let jitter = rand::rng().random_range(0.8..1.2);
-        tokio::time::sleep(interval.mul_f64(jitter)).await;
-    }
-}
-
 impl<T: Table> Keeper<T> {
     /// Makes a contender that does not hold the lease.
-    pub fn new(table: T, name: &str, term: Duration) -> Self {
+    pub fn new(table: T, key: &'static str, name: &str, term: Duration) -> Self {
         Self {
             table,
+            key,
             name: name.to_owned(),
             term,
             last: None,
@@ -103,7 +80,7 @@
     /// If the table gives no answer; the write may have been applied, which
     /// the next step finds out.
     pub async fn step(&mut self, lease: &Lease) -> Result<(), Fault> {
-        let found = self.table.get(KEY).await?;
+        let found = self.table.get(self.key).await?;
         let now = clock::now();
         let Some(found) = found else {
             return self.write(lease, 0, 1, now).await;
@@ -161,7 +138,7 @@
         let id = row.write_id;
         self.last = Some(Write { id, grant });
         let value = serde_json::to_vec(&row).unwrap_or_default();
-        let txn = Txn::default().when(KEY, revision).put(KEY, value);
+        let txn = Txn::default().when(self.key, revision).put(self.key, value);
         match self.table.transact(txn).await? {
             Outcome::Applied(_) => lease.set(grant),
             Outcome::Conflict(_) => lease.clear(),
--- /dev/null
+++ b/crates/router/src/node.rs
@@ -0,0 +1,305 @@
+//! What the planes and tasks of one instance share.
+
+use std::{
+    marker::PhantomData,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
+};
+
+use arc_swap::{
+    ArcSwap,
+    ArcSwapOption, //
+};
+use endpoint::Pool;
+use parking_lot::Mutex;
+use platform::table::Change;
+use policy::repeat::{
+    Allowance,
+    Budget, //
+};
+use state::{
+    belief,
+    clock,
+    health,
+    lease::Lease, //
+};
+use telemetry::{
+    emit,
+    event,
+    metrics::Metrics, //
+};
+use tokio::sync::Notify;
+
+use crate::{
+    catalog::Catalog,
+    config::Config,
+    endpoints::Endpoints,
+    instance,
+    mirror::{
+        Mirror,
+        State, //
+    },
+    protocol::{
+        Operator,
+        Protocol, //
+    },
+    quota,
+    rollout, //
+};
+
+/// Most beliefs about cached prefix levels, of 16 bytes each.
+const MAX_BELIEFS: usize = 1 << 15;
+
+/// The weights that engines of a model are to serve.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Wanted {
+    /// Name of the model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u64,
+    /// When this instance first heard of the version.
+    pub since: Duration,
+}
+
+/// Copies of all rows of the table that concern this project.
+#[derive(Debug, Default)]
+pub struct Mirrors {
+    /// What operators wrote.
+    pub operator: Mirror,
+    /// What endpoints wrote.
+    pub endpoints: Mirror,
+    /// What instances wrote.
+    pub own: Mirror,
+}
+
+/// What the planes and tasks of one instance share.
+#[derive(Debug)]
+pub struct Node<P> {
+    /// Settings of this instance.
+    pub config: Config,
+    /// Copies of the table's rows.
+    pub mirrors: Mirrors,
+    /// Configuration in force; none before the first was heard of.
+    pub catalog: ArcSwapOption<Catalog>,
+    /// Weights that were named, by model.
+    pub wanted: ArcSwap<Vec<Wanted>>,
+    /// Endpoints of all services.
+    pub endpoints: Endpoints,
+    /// Instances that take requests.
+    pub members: instance::Table,
+    /// Connections to endpoints.
+    pub pool: Arc<Pool>,
+    /// Prefix levels that endpoints are believed to cache.
+    pub beliefs: belief::Table,
+    /// What is learnt of endpoints, and requests that run there.
+    pub health: health::Table,
+    /// What this instance may spend of each workspace's limit.
+    pub quotas: Arc<quota::Table>,
+    /// The lease for orders to engines.
+    pub lease: Lease,
+    /// Wakes the task that gives orders.
+    pub rollout: Notify,
+    /// Histograms.
+    pub metrics: Metrics,
+    /// # Invariants
+    ///
+    /// Sorted by service.
+    repeats: Mutex<Vec<(Arc<str>, Budget)>>,
+    stopping: AtomicBool,
+    protocol: PhantomData<P>,
+}
+
+impl<P: Protocol> Node<P> {
+    /// Puts together a node that has yet to hear of any configuration.
+    ///
+    /// # Errors
+    ///
+    /// If metrics cannot be set up.
+    pub fn new(config: Config) -> anyhow::Result<Self> {
+        Ok(Self {
+            config,
+            mirrors: Mirrors::default(),
+            catalog: ArcSwapOption::empty(),
+            wanted: ArcSwap::default(),
+            endpoints: Endpoints::default(),
+            members: instance::Table::default(),
+            pool: Arc::new(Pool::new(P::id_header())),
+            beliefs: belief::Table::new(MAX_BELIEFS),
+            health: health::Table::default(),
+            quotas: Arc::default(),
+            lease: Lease::default(),
+            rollout: Notify::new(),
+            metrics: Metrics::new()?,
+            repeats: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            protocol: PhantomData,
+        })
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether a request would be served.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.catalog.load().is_some()
+    }
+
+    /// The weights that engines of `model` are to serve.
+    pub fn wanted(&self, model: &str) -> Option<Wanted> {
+        let wanted = self.wanted.load();
+        wanted.iter().find(|wanted| wanted.model == model).cloned()
+    }
+
+    /// Takes in rows that operators changed.
+    pub fn operator_changed(&self, changes: &[Change]) {
+        for change in changes {
+            let Some(value) = &change.value else {
+                continue;
+            };
+            match P::operator(&change.key, value) {
+                Ok(Operator::Catalog(catalog)) => self.put_in_force(*catalog),
+                Ok(Operator::Weights { model, version }) => self.want(model, version),
+                Ok(Operator::Other) => {}
+                Err(reason) => emit!(
+                    warn,
+                    event::CATALOG_UNREADABLE,
+                    row = change.key,
+                    revision = change.revision,
+                    reason = %reason,
+                ),
+            }
+        }
+    }
+
+    /// A configuration takes the place of older ones only.
+    fn put_in_force(&self, catalog: Catalog) {
+        let in_force = self.catalog.load().as_ref().map_or(0, |c| c.version);
+        if catalog.version <= in_force {
+            return;
+        }
+        emit!(
+            info,
+            event::CATALOG_IN_FORCE,
+            version = catalog.version,
+            before = in_force,
+        );
+        self.catalog.store(Some(Arc::new(catalog)));
+    }
+
+    fn want(&self, model: String, version: u64) {
+        let mut all = Vec::clone(&self.wanted.load());
+        let known = all.iter().position(|wanted| wanted.model == model);
+        if known.is_some_and(|index| all[index].version >= version) {
+            return;
+        }
+        emit!(info, event::WEIGHTS_WANTED, model = model, version = version);
+        if let Some(index) = known {
+            all.swap_remove(index);
+        }
+        all.push(Wanted {
+            model,
+            version,
+            since: clock::now(),
+        });
+        self.wanted.store(Arc::new(all));
+        self.rollout.notify_one();
+    }
+
+    /// Takes in rows that endpoints changed.
+    pub fn endpoints_changed(&self, changes: &[Change]) {
+        self.endpoints.apply::<P>(changes, clock::now());
+        self.rollout.notify_one();
+    }
+
+    /// Takes in rows that instances changed.
+    pub fn own_changed(&self, changes: &[Change]) {
+        for change in changes {
+            rollout::hear(self, change);
+            self.hear_instance(change);
+        }
+        let now = clock::now();
+        self.quotas
+            .divide(&self.members.others(&self.config.name, now));
+    }
+
+    fn hear_instance(&self, change: &Change) {
+        let Some(name) = change.key.strip_prefix(crate::INSTANCES) else {
+            return;
+        };
+        let row = match change.value.as_deref().map(serde_json::from_slice) {
+            Some(Ok(row)) => Some(row),
+            None => None,
+            Some(Err(reason)) => {
+                emit!(warn, event::INSTANCE_UNREADABLE, row = change.key, reason = %reason);
+                None
+            }
+        };
+        self.members.hear(name, row, clock::now());
+    }
+
+    /// Instances that share the limits, this one among them.
+    pub fn sharers(&self) -> usize {
+        self.members.others(&self.config.name, clock::now()).len() + 1
+    }
+
+    /// Counts the first attempt of a request at a service.
+    pub fn attempted(&self, service: &Arc<str>) {
+        let allowance = self.allowance();
+        self.with_budget(service, |budget| budget.earn(allowance));
+    }
+
+    /// Takes a repeat at a service out of the budget, if one is left.
+    pub fn may_repeat(&self, service: &Arc<str>) -> bool {
+        let allowance = self.allowance();
+        let sharers = self.sharers();
+        self.with_budget(service, |budget| budget.spend(allowance, sharers))
+    }
+
+    fn allowance(&self) -> Allowance {
+        Allowance {
+            ratio: self.config.bounds.retry_ratio,
+            slack: self.config.bounds.retry_slack,
+        }
+    }
+
+    fn with_budget<T>(&self, service: &Arc<str>, change: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut repeats = self.repeats.lock();
+        let index = match repeats.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(index) => index,
+            Err(index) => {
+                repeats.insert(index, (service.clone(), Budget::default()));
+                index
+            }
+        };
+        change(&mut repeats[index].1)
+    }
+
+    /// What an instance that starts wants to know.
+    pub fn state(&self) -> State {
+        State {
+            operator: self.mirrors.operator.copy(),
+            endpoints: self.mirrors.endpoints.copy(),
+            own: self.mirrors.own.copy(),
+        }
+    }
+
+    /// Takes over what another instance knows, as far as it is news.
+    pub fn import(&self, state: State) {
+        self.operator_changed(&self.mirrors.operator.import(state.operator));
+        self.endpoints_changed(&self.mirrors.endpoints.import(state.endpoints));
+        self.own_changed(&self.mirrors.own.import(state.own));
+    }
+}
--- /dev/null
+++ b/crates/router/src/plane.rs
@@ -0,0 +1,236 @@
+//! The planes of one instance: callers, directory, probes and peers.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use http::{
+    HeaderValue,
+    Request,
+    Response,
+    StatusCode,
+    header, //
+};
+use hyper::body::Incoming;
+use telemetry::{
+    emit,
+    event,
+    metrics::Sample, //
+};
+
+use crate::{
+    admit,
+    directory,
+    http::{
+        Body,
+        Service, //
+    },
+    node::Node,
+    plain,
+    protocol::Protocol,
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+    stream::{
+        self,
+        millis, //
+    }, //
+};
+
+/// Longest time for the head of a request on the planes that callers do not use, and for which
+/// their connections may be idle.
+const PROBE_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Requests of callers.
+#[derive(Debug)]
+pub struct Callers<P>(pub Arc<Node<P>>);
+
+/// Questions for the instances to connect to.
+#[derive(Debug)]
+pub struct Directory<P>(pub Arc<Node<P>>);
+
+/// Readiness probes and metrics.
+#[derive(Debug)]
+pub struct Probes<P>(pub Arc<Node<P>>);
+
+/// Other instances.
+#[derive(Debug)]
+pub struct Peers<P>(pub Arc<Node<P>>);
+
+impl<P: Protocol> Callers<P> {
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+        id: &mut Option<HeaderValue>,
+    ) -> Result<Response<Body>, Refusal> {
+        let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+        let (parts, body) = request.into_parts();
+        let ask = P::ask(&parts)
+            .map_err(|invalid| Refusal::not_run(Reason::Malformed, invalid.to_string()))?;
+        *id = Some(ask.id.clone());
+        let admitted = admit::accept(&self.0, ask, Request::from_parts(parts, body)).await?;
+        let arrived = admitted.call.arrived;
+        let mut response = if admitted.call.route.streams {
+            stream::answer(&self.0, admitted).await?
+        } else {
+            let route = admitted.call.route.clone();
+            let workspace = admitted.call.workspace.clone();
+            let response = plain::answer(&self.0, admitted).await?;
+            self.0.metrics.record(Sample {
+                workspace: workspace.as_ref().map_or("", |w| &w.name),
+                class: &route.name,
+                outcome: "ok",
+                first_token: Some(arrived.elapsed()),
+                queue: Duration::ZERO,
+                total: arrived.elapsed(),
+            });
+            response
+        };
+        if chunked {
+            // What follows a chunked body may be meant as part of it by another reader.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        Ok(response)
+    }
+
+    fn refuse(
+        &self,
+        refusal: &Refusal,
+        id: Option<&HeaderValue>,
+        arrived: Instant,
+    ) -> Response<Body> {
+        emit!(
+            info,
+            event::REQUEST_REFUSED,
+            request = id.and_then(|id| id.to_str().ok()).unwrap_or_default(),
+            code = refusal.reason.as_str(),
+            status = refusal.status().as_u16(),
+            verdict = refusal.verdict.as_str(),
+            reason = refusal.message,
+            catalog = self.0.catalog.load().as_ref().map_or(0, |c| c.version),
+            age_ms = millis(arrived.elapsed()),
+        );
+        self.0.metrics.record(Sample {
+            class: "none",
+            outcome: refusal.reason.as_str(),
+            total: arrived.elapsed(),
+            ..Sample::default()
+        });
+        let mut response = refusal.answer::<P>(id);
+        if refusal.reason == Reason::Malformed {
+            // Where the next request begins is in doubt.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+}
+
+impl<P: Protocol> Service for Callers<P> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let arrived = Instant::now();
+        let mut id = None;
+        match self.serve(request, &mut id).await {
+            Ok(response) => response,
+            Err(refusal) => self.refuse(&refusal, id.as_ref(), arrived),
+        }
+    }
+
+    fn head_timeout(&self) -> Duration {
+        let catalog = self.0.catalog.load();
+        let limits = catalog.as_ref().map(|c| c.limits).unwrap_or_default();
+        limits.idle_timeout
+    }
+
+    fn closes(&self) -> bool {
+        self.0.is_stopping()
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::whole(""));
+    *response.status_mut() = status;
+    response
+}
+
+fn json(text: bytes::Bytes) -> Response<Body> {
+    let mut response = Response::new(Body::whole(text));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+impl<P: Protocol> Service for Directory<P> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let Some(caller) = P::lookup(request.uri()) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let addresses: Vec<SocketAddr> = directory::addresses(&self.0, &caller);
+        if addresses.is_empty() {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        json(P::addresses(&addresses, directory::keep(&self.0)))
+    }
+
+    fn head_timeout(&self) -> Duration {
+        PROBE_HEAD_TIMEOUT
+    }
+
+    fn closes(&self) -> bool {
+        self.0.is_stopping()
+    }
+}
+
+impl<P: Protocol> Service for Probes<P> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        if P::is_probe(request.uri()) {
+            return status(if self.0.is_ready() {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            });
+        }
+        if request.uri().path() != "/metrics" {
+            return status(StatusCode::NOT_FOUND);
+        }
+        match self.0.metrics.render() {
+            Ok(text) => Response::new(Body::whole(text)),
+            Err(error) => {
+                emit!(warn, event::CONNECTION_FAULT, reason = %error);
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+
+    fn head_timeout(&self) -> Duration {
+        PROBE_HEAD_TIMEOUT
+    }
+
+    fn closes(&self) -> bool {
+        false
+    }
+}
+
+impl<P: Protocol> Service for Peers<P> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        if request.uri().path() != crate::peer::STATE_PATH {
+            return status(StatusCode::NOT_FOUND);
+        }
+        json(self.0.state().encode())
+    }
+
+    fn head_timeout(&self) -> Duration {
+        PROBE_HEAD_TIMEOUT
+    }
+
+    fn closes(&self) -> bool {
+        self.0.is_stopping()
+    }
+}
--- /dev/null
+++ b/crates/router/src/refusal.rs
@@ -0,0 +1,144 @@
+//! Answers of our own to requests that get none from an endpoint.
+
+use std::time::Duration;
+
+use endpoint::Verdict;
+use http::{
+    HeaderValue,
+    Response,
+    StatusCode,
+    header, //
+};
+use serde::Serialize;
+
+use crate::{
+    http::{
+        Body,
+        json, //
+    },
+    protocol::{
+        Callers,
+        Endpoints, //
+    }, //
+};
+
+/// Why a request gets no answer from an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// The request is malformed.
+    Malformed,
+    /// The body is larger than the configuration allows.
+    BodyTooLarge,
+    /// The body did not arrive in time.
+    BodyTimeout,
+    /// The key is missing or unknown.
+    KeyUnknown,
+    /// No route leads there.
+    NoRoute,
+    /// No configuration is known yet.
+    NotReady,
+    /// The workspace has used its share.
+    RateExceeded,
+    /// No endpoint can take the request now.
+    NoEndpoint,
+    /// The time for the request has run out.
+    DeadlineExceeded,
+    /// The endpoint failed, and the request may have run.
+    EndpointFailed,
+}
+
+impl Reason {
+    /// The name used in logs, labels and bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::Malformed => "malformed",
+            Reason::BodyTooLarge => "body_too_large",
+            Reason::BodyTimeout => "body_timeout",
+            Reason::KeyUnknown => "key_unknown",
+            Reason::NoRoute => "no_route",
+            Reason::NotReady => "not_ready",
+            Reason::RateExceeded => "rate_exceeded",
+            Reason::NoEndpoint => "no_endpoint",
+            Reason::DeadlineExceeded => "deadline_exceeded",
+            Reason::EndpointFailed => "endpoint_failed",
+        }
+    }
+}
+
+/// An answer of our own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Refusal {
+    /// What kind it is.
+    pub reason: Reason,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// What is wrong and what the caller can do about it.
+    pub message: String,
+    /// When it makes sense to come back.
+    pub retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct Document<'a> {
+    error: Reason,
+    verdict: Verdict,
+    message: &'a str,
+}
+
+impl Refusal {
+    /// A refusal before anything was sent to an endpoint.
+    pub fn not_run(reason: Reason, message: impl Into<String>) -> Self {
+        Self {
+            reason,
+            verdict: Verdict::NotRun,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Adds the time after which the caller should come back.
+    pub fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// Statuses that promise that the request has not run are given only where that is so.
+    pub fn status(&self) -> StatusCode {
+        let unrun = self.verdict == Verdict::NotRun;
+        match self.reason {
+            Reason::Malformed => StatusCode::BAD_REQUEST,
+            Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Reason::KeyUnknown => StatusCode::UNAUTHORIZED,
+            Reason::NoRoute => StatusCode::NOT_FOUND,
+            Reason::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
+            Reason::NotReady | Reason::NoEndpoint | Reason::DeadlineExceeded if unrun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+            Reason::NotReady | Reason::NoEndpoint | Reason::EndpointFailed => {
+                StatusCode::BAD_GATEWAY
+            }
+        }
+    }
+
+    /// The refusal as a response to the request with this id.
+    pub fn answer<P: Callers + Endpoints>(&self, id: Option<&HeaderValue>) -> Response<Body> {
+        let document = Document {
+            error: self.reason,
+            verdict: self.verdict,
+            message: &self.message,
+        };
+        let mut response = json(self.status(), &document);
+        let headers = response.headers_mut();
+        if let Some(id) = id {
+            headers.insert(P::id_header(), id.clone());
+        }
+        if let Some(wait) = self.retry_after {
+            headers.insert(header::RETRY_AFTER, P::retry_after(wait));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/router/src/rollout.rs
@@ -0,0 +1,424 @@
+//! Brings engines to the weights that operators name, by one instance at a time.
+//!
+//! The instance that holds the lease gives the orders. It writes how far the
+//! engines have come into the table, so that all instances keep away from
+//! engines that load and know at once which ones serve the new weights.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use endpoint::{
+    Verdict,
+    order, //
+};
+use platform::table::{
+    Change,
+    Txn,
+    Watch, //
+};
+use policy::rollout::{
+    Weights,
+    most_loading,
+    pick_within, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use state::{
+    clock,
+    lease::Grant, //
+};
+use telemetry::{
+    emit,
+    event, //
+};
+use tokio::{
+    task::JoinSet,
+    time::Instant, //
+};
+
+use crate::{
+    LEASE,
+    ROLLOUTS,
+    fleet::Endpoint,
+    lease::{
+        Keeper,
+        RENEWALS, //
+    },
+    node::{
+        Node,
+        Wanted, //
+    },
+    protocol::{
+        Order,
+        Protocol,
+        Taken, //
+    }, //
+};
+
+/// Time between looks at what there is to do while there is something.
+const BUSY_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between looks while there is nothing.
+const IDLE_INTERVAL: Duration = Duration::from_secs(5);
+/// By how much later each further instance tries to take the lease, so that not all do.
+const TURN: Duration = Duration::from_millis(300);
+/// Time between looks at an engine that loads.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time from an order to the first look: no engine loads faster.
+const FIRST_LOOK: Duration = Duration::from_millis(1_300);
+/// Time for the other instances to hear that an engine is about to load.
+const HEARD_TIME: Duration = Duration::from_millis(200);
+/// Longest time for one engine to load before it is left alone for a while.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for which an engine that did not load is left alone.
+const FAILED_PAUSE: Duration = Duration::from_secs(2);
+
+/// How far the engines of one model have come.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct Progress {
+    /// The version that they are to serve.
+    version: u64,
+    /// Engines that load it.
+    loading: Vec<Arc<str>>,
+    /// Engines that serve it.
+    done: Vec<Arc<str>>,
+}
+
+/// Takes in how far engines have come, if the row tells that.
+pub fn hear<P: Protocol>(node: &Node<P>, change: &Change) {
+    let (Some(model), Some(value)) = (change.key.strip_prefix(ROLLOUTS), &change.value) else {
+        return;
+    };
+    let progress: Progress = match serde_json::from_slice(value) {
+        Ok(progress) => progress,
+        Err(reason) => {
+            emit!(warn, event::INSTANCE_UNREADABLE, row = change.key, reason = %reason);
+            return;
+        }
+    };
+    for endpoint in engines(node, model) {
+        let name = &endpoint.registration.name;
+        if progress.done.contains(name) {
+            endpoint.hear_version(progress.version);
+        }
+        endpoint.set_loading(progress.loading.contains(name));
+    }
+}
+
+/// Engines that serve `model` and are not leaving.
+fn engines<P: Protocol>(node: &Node<P>, model: &str) -> Vec<Arc<Endpoint>> {
+    let fleet = node.endpoints.fleet();
+    let serves = |e: &&Arc<Endpoint>| {
+        !e.registration.leaving && e.model().is_some_and(|served| **served == *model)
+    };
+    fleet.all().iter().filter(serves).cloned().collect()
+}
+
+/// How one engine's load ended.
+#[derive(Debug)]
+struct Ended {
+    endpoint: Arc<Endpoint>,
+    loaded: bool,
+}
+
+/// What the holder of the lease has under way.
+struct Work<P, W> {
+    node: Arc<Node<P>>,
+    table: W,
+    keeper: Keeper<W>,
+    tasks: JoinSet<Ended>,
+    loading: Vec<Arc<Endpoint>>,
+    /// Engines that did not load, each with when to try again.
+    resting: Vec<(Arc<str>, Instant)>,
+    renewed: Option<Instant>,
+    /// Since when there has been something to do.
+    busy_since: Option<Instant>,
+    published: Vec<(String, Progress)>,
+}
+
+/// Gives orders whenever there is something to do and the lease is held, until the task is
+/// aborted.
+pub async fn run<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W) {
+    let name = node.config.name.clone();
+    let mut work = Work {
+        keeper: Keeper::new(table.clone(), LEASE, &name, node.config.bounds.lease),
+        node: node.clone(),
+        table,
+        tasks: JoinSet::new(),
+        loading: Vec::new(),
+        resting: Vec::new(),
+        renewed: None,
+        busy_since: None,
+        published: Vec::new(),
+    };
+    loop {
+        let interval = match work.busy_since {
+            Some(_) => BUSY_INTERVAL,
+            None => IDLE_INTERVAL,
+        };
+        tokio::select! {
+            () = node.rollout.notified() => {}
+            () = tokio::time::sleep(interval) => {}
+            Some(ended) = work.tasks.join_next() => work.end(ended),
+        }
+        work.step().await;
+    }
+}
+
+impl<P: Protocol, W: Watch> Work<P, W> {
+    fn end(&mut self, ended: Result<Ended, tokio::task::JoinError>) {
+        let Ok(Ended { endpoint, loaded }) = ended else {
+            return;
+        };
+        endpoint.set_loading(false);
+        let name = endpoint.registration.name.clone();
+        self.loading.retain(|e| e.registration.name != name);
+        if !loaded {
+            self.resting.push((name, Instant::now() + FAILED_PAUSE));
+        }
+    }
+
+    async fn step(&mut self) {
+        if self.node.is_stopping() || !self.has_work() {
+            self.busy_since = None;
+            if !self.loading.is_empty() {
+                return;
+            }
+            self.publish().await;
+            return;
+        }
+        let since = *self.busy_since.get_or_insert_with(Instant::now);
+        if !self.hold_lease(since).await {
+            return;
+        }
+        let now = Instant::now();
+        self.resting.retain(|(_, until)| *until > now);
+        for wanted in self.node.wanted.load().iter() {
+            self.order(wanted);
+        }
+        self.publish().await;
+    }
+
+    /// Whether any engine serves older weights than those named.
+    fn has_work(&self) -> bool {
+        let wanted = self.node.wanted.load();
+        let is_behind = |wanted: &Wanted| {
+            let engines = engines(&self.node, &wanted.model);
+            engines.iter().any(|e| e.version() < wanted.version)
+        };
+        wanted.iter().any(is_behind)
+    }
+
+    /// Takes or renews the lease when it is due.
+    async fn hold_lease(&mut self, since: Instant) -> bool {
+        let held = self.node.lease.check(order::LIFE).is_some();
+        let due = match self.renewed {
+            Some(at) if held => at.elapsed() >= self.node.config.bounds.lease / RENEWALS,
+            _ => since.elapsed() >= self.turn(),
+        };
+        if due {
+            self.renewed = Some(Instant::now());
+            if let Err(fault) = self.keeper.step(&self.node.lease).await {
+                emit!(debug, event::LEASE_FAULT, reason = %fault);
+            }
+        }
+        self.node.lease.check(order::LIFE).is_some()
+    }
+
+    /// How long to leave the lease to instances that come first in order of their names.
+    fn turn(&self) -> Duration {
+        let named = self.node.members.named(clock::now());
+        let own = &*self.node.config.name;
+        let before = named.iter().filter(|member| *member.name < *own).count();
+        TURN.saturating_mul(u32::try_from(before).unwrap_or(u32::MAX))
+    }
+
+    /// Starts as many loads as may run now.
+    fn order(&mut self, wanted: &Wanted) {
+        let engines = engines(&self.node, &wanted.model);
+        let weights: Vec<Weights> = engines.iter().map(|e| self.weights(e, wanted)).collect();
+        let most = most_loading(engines.len());
+        let picked = pick_within(&weights, self.loading.len(), most, rand::random::<u32>() as usize);
+        for index in picked {
+            let endpoint = engines[index].clone();
+            endpoint.set_loading(true);
+            self.loading.push(endpoint.clone());
+            let load = Load {
+                node: self.node.clone(),
+                endpoint,
+                model: wanted.model.clone(),
+                version: wanted.version,
+            };
+            self.tasks.spawn(load.run());
+        }
+    }
+
+    fn weights(&self, engine: &Endpoint, wanted: &Wanted) -> Weights {
+        let name = &engine.registration.name;
+        if self.loading.iter().any(|e| e.registration.name == *name) {
+            return Weights::Loading;
+        }
+        let rests = self.resting.iter().any(|(resting, _)| resting == name);
+        if engine.version() >= wanted.version || rests {
+            return Weights::Wanted;
+        }
+        Weights::Other
+    }
+
+    /// Tells the other instances how far the engines have come, if that has changed.
+    async fn publish(&mut self) {
+        let wanted = self.node.wanted.load_full();
+        for wanted in wanted.iter() {
+            let progress = self.progress(wanted);
+            let known = self.published.iter().position(|(model, _)| *model == wanted.model);
+            let news = match known {
+                Some(index) => self.published[index].1 != progress,
+                None => !progress.loading.is_empty(),
+            };
+            if !news {
+                continue;
+            }
+            let key = format!("{ROLLOUTS}{}", wanted.model);
+            // Texts and numbers always encode.
+            let value = serde_json::to_vec(&progress).unwrap_or_default();
+            if let Err(fault) = self.table.transact(Txn::default().put(key, value)).await {
+                emit!(debug, event::TABLE_FAULT, prefix = ROLLOUTS, reason = %fault);
+                continue;
+            }
+            if let Some(index) = known {
+                self.published.swap_remove(index);
+            }
+            self.published.push((wanted.model.clone(), progress));
+        }
+    }
+
+    fn progress(&self, wanted: &Wanted) -> Progress {
+        let engines = engines(&self.node, &wanted.model);
+        let names = |fits: &dyn Fn(&Endpoint) -> bool| {
+            let fitting = engines.iter().filter(|e| fits(e));
+            fitting.map(|e| e.registration.name.clone()).collect()
+        };
+        Progress {
+            version: wanted.version,
+            loading: names(&|e| self.weights(e, wanted) == Weights::Loading),
+            done: names(&|e| e.version() >= wanted.version),
+        }
+    }
+}
+
+/// One engine that is to load.
+struct Load<P> {
+    node: Arc<Node<P>>,
+    endpoint: Arc<Endpoint>,
+    model: String,
+    version: u64,
+}
+
+impl<P: Protocol> Load<P> {
+    async fn run(self) -> Ended {
+        tokio::time::sleep(HEARD_TIME).await;
+        let loaded = tokio::time::timeout(LOAD_TIMEOUT, self.load()).await;
+        Ended {
+            loaded: loaded.unwrap_or(false),
+            endpoint: self.endpoint,
+        }
+    }
+
+    /// Looks and orders until the engine serves the version; `false` if that is not to be had.
+    async fn load(&self) -> bool {
+        loop {
+            let Some(report) = self.report().await else {
+                return false;
+            };
+            let mut versions = report.versions.iter();
+            let served = versions.find(|(model, _)| *model == self.model);
+            if served.is_some_and(|(_, version)| *version >= self.version) {
+                self.endpoint.hear_version(self.version);
+                emit!(
+                    info,
+                    event::WEIGHTS_LOADED,
+                    endpoint = &*self.endpoint.registration.name,
+                    version = self.version,
+                );
+                return true;
+            }
+            if report.loading {
+                tokio::time::sleep(LOOK_INTERVAL).await;
+                continue;
+            }
+            match self.give(report.accepted).await {
+                Some(Taken::Yes) => tokio::time::sleep(FIRST_LOOK).await,
+                Some(Taken::Busy) => tokio::time::sleep(LOOK_INTERVAL).await,
+                Some(Taken::Fenced | Taken::No) | None => return false,
+            }
+        }
+    }
+
+    async fn report(&self) -> Option<crate::protocol::Report> {
+        let registration = &self.endpoint.registration;
+        let question = P::report(&registration.name, registration.address);
+        let (status, body) = order::ask(registration.address, question).await.ok()?;
+        if !status.is_success() {
+            return None;
+        }
+        P::read_report(&body).ok()
+    }
+
+    /// Gives the order if the lease lasts long enough for it.
+    async fn give(&self, accepted_before: u64) -> Option<Taken> {
+        let grant = self.grant()?;
+        let registration = &self.endpoint.registration;
+        let order = Order {
+            endpoint: &registration.name,
+            model: &self.model,
+            version: self.version,
+            holder: &self.node.config.name,
+            fence: grant.number,
+            accepted_before,
+        };
+        let request = P::order(&order, registration.address);
+        // Asked again when the last byte is about to go out.
+        let node = self.node.clone();
+        let in_time = move || {
+            let now = node.lease.check(order::LIFE);
+            now.is_some_and(|now| now.number == grant.number)
+        };
+        let (endpoint, version, fence) = (&*registration.name, self.version, grant.number);
+        match order::give(registration.address, request, in_time).await {
+            Ok(status) => {
+                let taken = P::taken(status);
+                if taken == Taken::Yes {
+                    emit!(info, event::ORDER_GIVEN, endpoint, version, fence);
+                } else {
+                    let status = status.as_u16();
+                    emit!(info, event::ORDER_REFUSED, endpoint, version, fence, status);
+                }
+                Some(taken)
+            }
+            Err(failure) => {
+                emit!(
+                    info,
+                    event::ORDER_REFUSED,
+                    endpoint,
+                    version,
+                    fence,
+                    reason = %failure.fault,
+                );
+                // It may be carried out late; the next look tells.
+                (failure.verdict != Verdict::NotRun).then_some(Taken::Busy)
+            }
+        }
+    }
+
+    /// Orders to engines that obey any fencing number wait until those of the holder before
+    /// cannot arrive any more.
+    fn grant(&self) -> Option<Grant> {
+        let grant = self.node.lease.check(order::LIFE)?;
+        let quiet = clock::now() >= grant.quiet_until;
+        (self.node.config.bounds.engines_check_fences || quiet).then_some(grant)
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -48,18 +48,40 @@
     KEY_WITHDRAWN = 204;
     /// An emergency withdrawal could not be kept in the table yet; it is tried again.
     WITHDRAWAL_UNKEPT = 205;
+    /// The table answers again.
+    TABLE_REGAINED = 206;
+    /// The table no longer has the history that was asked for; all rows are read anew.
+    HISTORY_LOST = 207;
+    /// A configuration is in force.
+    CATALOG_IN_FORCE = 208;
+    /// A row that the operator wrote does not read; what was read before stays in force.
+    CATALOG_UNREADABLE = 209;
+    /// New weights were named; engines are to load them.
+    WEIGHTS_WANTED = 210;
+    /// The settings file has changed; the change is in force after the next start.
+    SETTINGS_FILE_CHANGED = 211;
     /// The instance list gave no answer; the last known members stay.
     INSTANCES_FAULT = 300;
     /// A peer could not be reached or closed the connection.
     PEER_FAULT = 301;
     /// A connection on the peer plane did not show the secret or sent garbage.
     PEER_REFUSED = 302;
+    /// A row of an instance does not read; the instance is passed over until it writes another.
+    INSTANCE_UNREADABLE = 303;
+    /// An instance that starts has taken over what a peer knows.
+    STATE_IMPORTED = 304;
     /// An endpoint failed a request.
     ENDPOINT_FAULT = 400;
     /// A request was refused.
     REQUEST_REFUSED = 401;
     /// A caller's connection ended with an error.
     CONNECTION_FAULT = 402;
+    /// A row of an endpoint does not read; it names no endpoint.
+    ENDPOINT_UNREADABLE = 403;
+    /// A stream goes on at another endpoint.
+    STREAM_RESUMED = 404;
+    /// A request was served.
+    REQUEST_SERVED = 405;
     /// The outcome of a request that may run once could not be written; replays hear that it may have run.
     CLAIM_UNSETTLED = 420;
     /// The table gave no answer about token rights; they end with their term if this lasts.
@@ -78,4 +100,6 @@
     ORDER_GIVEN = 602;
     /// An endpoint refused an order or its answer was lost.
     ORDER_REFUSED = 603;
+    /// An engine serves the weights that it was ordered to load.
+    WEIGHTS_LOADED = 604;
 }
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -75,3 +75,14 @@
     // Fails only if logging was started before, as in tests.
     result.ok();
 }
+
+/// Starts logging to standard output, one JSON object a line. Later calls change nothing.
+pub fn start_on_stdout() {
+    let builder = tracing_subscriber::fmt()
+        .with_max_level(LevelFilter::INFO)
+        .with_target(false)
+        .json()
+        .flatten_event(true);
+    // Fails only if logging was started before, as in tests.
+    builder.try_init().ok();
+}
