--- a/crates/damaskd/src/daemon.rs
+++ b/crates/damaskd/src/daemon.rs
@@ -93,11 +93,7 @@
         let operator_plane = Arc::new(operator::Plane::new(node.clone()));
         let caller = tokio::net::TcpListener::from_std(caller)?;
         let operator = tokio::net::TcpListener::from_std(operator)?;
-        let callers = tokio::spawn(http::serve(
-            caller,
-            caller_plane,
-            stopped.clone(),
-        ));
+        let callers = tokio::spawn(http::serve(caller, caller_plane, stopped.clone()));
         let operators = tokio::spawn(http::serve(operator, operator_plane, stopped));
         let reader = tokio::spawn(sync::run(node.clone()));
         let sweeper = node.clone();
--- a/crates/damaskd/tests/lease.rs
+++ b/crates/damaskd/tests/lease.rs
@@ -10,7 +10,6 @@
     time::Duration, //
 };
 
-use router::lease::Keeper;
 use history::lease::{
     Look,
     Order,
@@ -40,6 +39,7 @@
     SeedableRng, //
 };
 use rand_chacha::ChaCha8Rng;
+use router::lease::Keeper;
 use serde_json::{
     Value,
     json, //
@@ -127,7 +127,12 @@
     let term = Duration::from_millis(400);
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let process = table.process;
-    let mut keeper = Keeper::new(table, "leases/control", &format!("contender {process}"), term);
+    let mut keeper = Keeper::new(
+        table,
+        "leases/control",
+        &format!("contender {process}"),
+        term,
+    );
     let lease = Lease::default();
     for _ in 0..24 {
         // A fault is one of those that the test provokes.
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -77,7 +77,11 @@
         let mut tail = 0;
         let last = parts.len().saturating_sub(1);
         for (index, (id, tokens)) in parts.enumerate() {
-            let blocks = if index == last { 0 } else { tokens / BLOCK_TOKENS };
+            let blocks = if index == last {
+                0
+            } else {
+                tokens / BLOCK_TOKENS
+            };
             for block in 0..blocks {
                 let mut hasher = Xxh3::with_seed(previous);
                 hasher.update(&id.to_le_bytes());
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -22,7 +22,13 @@
 /// most half of the model's engines are out at once, one of a single one. The
 /// seed says where to begin, so that one that refuses holds up no others.
 pub fn pick(engines: &[Weights], loading: usize, seed: usize) -> Vec<usize> {
-    pick_within(engines, loading, MAX_LOADING, seed)
+    let length = engines.len().max(1);
+    let first = seed % length;
+    let rotated: Vec<Weights> = (0..engines.len())
+        .map(|index| engines[(index + first) % length])
+        .collect();
+    let picked = pick_within(&rotated, loading, MAX_LOADING).into_iter();
+    picked.map(|index| (index + first) % length).collect()
 }
 
 /// Engines that may load at the same time where weights come from a store that serves a fifth of
@@ -31,13 +37,9 @@
     (engines / 5).max(MAX_LOADING)
 }
 
-/// As [`pick`], with at most `most_loading` engines that load at the same time.
-pub fn pick_within(
-    engines: &[Weights],
-    loading: usize,
-    most_loading: usize,
-    seed: usize,
-) -> Vec<usize> {
+/// As [`pick`], in the order of `engines` and with at most `most_loading` that load at the same
+/// time.
+pub fn pick_within(engines: &[Weights], loading: usize, most_loading: usize) -> Vec<usize> {
     let out = engines
         .iter()
         .filter(|w| matches!(w, Weights::Loading | Weights::Unknown))
@@ -46,8 +48,6 @@
     let room = most_loading
         .saturating_sub(loading)
         .min(most.saturating_sub(out));
-    let length = engines.len().max(1);
-    let rotated = (0..engines.len()).map(|index| (index + seed % length) % length);
-    let others = rotated.filter(|&index| engines[index] == Weights::Other);
+    let others = (0..engines.len()).filter(|&index| engines[index] == Weights::Other);
     others.take(room).collect()
 }
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -9,6 +9,42 @@
 /// Part of the limit that is split evenly, so that new demand finds a share before it is published.
 const EVEN_PART: f64 = 0.3;
 
+/// Part of the tolerance that is saved up ahead. The rest covers requests that overspend a share
+/// and shares that were worked out from different numbers.
+const TOLERANCE_PART: f64 = 0.5;
+
+/// What a limit is judged by: a window may hold `rate` times its length and `burst`, and a
+/// tolerance beyond that.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Length of a window, in seconds.
+    pub window: f64,
+    /// Part of the limit by which a window may exceed it.
+    pub over: f64,
+    /// Units by which it may exceed it beyond that.
+    pub slack: f64,
+}
+
+/// The share of a limit that one of `instances` may spend when its part of the demand is
+/// `fraction`.
+///
+/// Each instance saves up an even part of the tolerance: shares of many instances are small
+/// against single requests.
+pub fn share(
+    rate: f64,
+    burst: f64,
+    tolerance: Tolerance,
+    fraction: f64,
+    instances: usize,
+) -> Share {
+    let limit = rate * tolerance.window + burst;
+    let spare = (limit * tolerance.over + tolerance.slack) * TOLERANCE_PART;
+    Share {
+        rate: rate * fraction,
+        capacity: burst * fraction + spare / instances.max(1) as f64,
+    }
+}
+
 /// The share of one instance, from 0 to 1.
 ///
 /// `own` is what this instance has published, `others` what the others have.
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -18,6 +18,7 @@
     Limited, //
 };
 use hyper::body::Incoming;
+use policy::share::Tolerance;
 use state::clock;
 
 use crate::{
@@ -187,9 +188,15 @@
         return Ok(None);
     };
     let units = call.units(workspace);
+    let bounds = &node.config.bounds;
+    let tolerance = Tolerance {
+        window: bounds.quota_window.as_secs_f64(),
+        over: bounds.quota_over,
+        slack: bounds.quota_slack,
+    };
     let charged = node
         .quotas
-        .charge(workspace, units, node.sharers(), clock::now());
+        .charge(workspace, units, tolerance, node.sharers(), clock::now());
     charged.map_err(|wait| {
         let message = format!("workspace {} has used its share", workspace.name);
         Refusal::not_run(Reason::RateExceeded, message).retry_after(wait)
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -272,9 +272,7 @@
 
     fn out_of_time(&self) -> Refusal {
         let message = "the time for the request has run out";
-        self.refuse(
-            Refusal::not_run(Reason::DeadlineExceeded, message).retry_after(DEADLINE_RETRY),
-        )
+        self.refuse(Refusal::not_run(Reason::DeadlineExceeded, message).retry_after(DEADLINE_RETRY))
     }
 
     /// A refusal with the verdict of all attempts together.
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -146,8 +146,13 @@
     now: Millis,
 ) -> Vec<Eligible> {
     let fleet = node.endpoints.fleet();
-    let term = node.config.bounds.weights.saturating_sub(OLD_WEIGHTS_MARGIN);
-    let old_ended = wanted.is_some_and(|w| clock::now().saturating_sub(w.since) > term);
+    let term = node
+        .config
+        .bounds
+        .weights
+        .saturating_sub(OLD_WEIGHTS_MARGIN);
+    let clock = clock::now();
+    let has_ended = |since: Duration| clock.saturating_sub(since) > term;
     let of_service = fleet.of_service(&call.service).iter();
     let fits = |endpoint: &&Arc<Endpoint>| {
         let registration = &endpoint.registration;
@@ -156,8 +161,8 @@
         serves && !registration.leaving && !tried.contains(&registration.name)
     };
     let look = |endpoint: &Arc<Endpoint>| {
-        let is_old = wanted.is_some_and(|w| endpoint.version() < w.version);
-        if is_old && old_ended {
+        let replaced = wanted.and_then(|w| w.replaced_since(endpoint.version()));
+        if replaced.is_some_and(has_ended) {
             return None;
         }
         let known = node.health.endpoint(&endpoint.registration.name);
@@ -168,7 +173,7 @@
             endpoint: endpoint.clone(),
             known,
             view,
-            is_old,
+            is_old: replaced.is_some(),
         })
     };
     of_service.filter(fits).filter_map(look).collect()
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -81,6 +81,14 @@
     pub retry_ratio: f64,
     /// Repeats allowed beyond the ratio in one window, in all.
     pub retry_slack: f64,
+    /// Window over which the limits of workspaces are judged, in seconds.
+    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde(rename = "quota_window_s")]
+    pub quota_window: Duration,
+    /// Part of a limit by which a window may exceed it.
+    pub quota_over: f64,
+    /// Units by which a window may exceed a limit beyond that.
+    pub quota_slack: f64,
     /// Longest time that callers keep the answer of the directory, in seconds.
     #[serde_as(as = "DurationSeconds<u64>")]
     #[serde(rename = "address_ttl_s")]
@@ -125,6 +133,9 @@
         if self.bounds.retry_ratio < 0.0 || self.bounds.retry_slack < 0.0 {
             bail!("bounds.retry_ratio and bounds.retry_slack must not be negative");
         }
+        if self.bounds.quota_over < 0.0 || self.bounds.quota_slack < 0.0 {
+            bail!("bounds.quota_over and bounds.quota_slack must not be negative");
+        }
         Ok(())
     }
 }
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -196,11 +196,7 @@
     graceful.shutdown().await;
 }
 
-fn spawn<S: Service>(
-    stream: TcpStream,
-    service: Arc<S>,
-    graceful: &GracefulShutdown,
-) {
+fn spawn<S: Service>(stream: TcpStream, service: Arc<S>, graceful: &GracefulShutdown) {
     // A refused option costs latency only.
     stream.set_nodelay(true).ok();
     let head_timeout = service.head_timeout();
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -61,10 +61,22 @@
 pub struct Wanted {
     /// Name of the model.
     pub model: String,
-    /// Version of its weights.
+    /// Newest version of its weights.
     pub version: u64,
-    /// When this instance first heard of the version.
-    pub since: Duration,
+    /// Versions that were named, with when this instance first heard of each.
+    ///
+    /// # Invariants
+    ///
+    /// Sorted by version; never empty, and the last one is `version`.
+    pub named: Vec<(u64, Duration)>,
+}
+
+impl Wanted {
+    /// Since when `version` has been replaced by a newer one.
+    pub fn replaced_since(&self, version: u64) -> Option<Duration> {
+        let newer = self.named.partition_point(|(named, _)| *named <= version);
+        self.named.get(newer).map(|(_, since)| *since)
+    }
 }
 
 /// Copies of all rows of the table that concern this project.
@@ -205,15 +217,24 @@
         if known.is_some_and(|index| all[index].version >= version) {
             return;
         }
-        emit!(info, event::WEIGHTS_WANTED, model = model, version = version);
-        if let Some(index) = known {
-            all.swap_remove(index);
+        emit!(
+            info,
+            event::WEIGHTS_WANTED,
+            model = model,
+            version = version
+        );
+        let now = clock::now();
+        match known {
+            Some(index) => {
+                all[index].version = version;
+                all[index].named.push((version, now));
+            }
+            None => all.push(Wanted {
+                model,
+                version,
+                named: vec![(version, now)],
+            }),
         }
-        all.push(Wanted {
-            model,
-            version,
-            since: clock::now(),
-        });
         self.wanted.store(Arc::new(all));
         self.rollout.notify_one();
     }
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -10,7 +10,7 @@
     self,
     Bucket,
     Demand,
-    Share, //
+    Tolerance, //
 };
 
 use crate::{
@@ -83,6 +83,7 @@
         self: &Arc<Self>,
         workspace: &Workspace,
         units: u64,
+        tolerance: Tolerance,
         instances: usize,
         now: Duration,
     ) -> Result<Option<Charge>, Duration> {
@@ -93,10 +94,8 @@
         let mut entries = self.entries.lock();
         let entry = entry(&mut entries, &workspace.name, instances);
         entry.demand.add(now, units);
-        let share = Share {
-            rate: limit.rate as f64 * entry.fraction,
-            capacity: limit.burst as f64 * entry.fraction,
-        };
+        let (rate, burst) = (limit.rate as f64, limit.burst as f64);
+        let share = share::share(rate, burst, tolerance, entry.fraction, instances);
         let new = || Bucket::new(now, share, START_PART);
         entry
             .bucket
@@ -146,11 +145,7 @@
     }
 }
 
-fn entry<'a>(
-    entries: &'a mut Vec<Entry>,
-    workspace: &Arc<str>,
-    instances: usize,
-) -> &'a mut Entry {
+fn entry<'a>(entries: &'a mut Vec<Entry>, workspace: &Arc<str>, instances: usize) -> &'a mut Entry {
     let index = match entries.binary_search_by(|entry| entry.workspace.cmp(workspace)) {
         Ok(index) => index,
         Err(index) => {
--- a/crates/router/src/rollout.rs
+++ b/crates/router/src/rollout.rs
@@ -5,7 +5,13 @@
 //! engines that load and know at once which ones serve the new weights.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    },
     time::Duration, //
 };
 
@@ -13,6 +19,7 @@
     Verdict,
     order, //
 };
+use parking_lot::Mutex;
 use platform::table::{
     Change,
     Txn,
@@ -36,6 +43,7 @@
     event, //
 };
 use tokio::{
+    sync::Semaphore,
     task::JoinSet,
     time::Instant, //
 };
@@ -66,9 +74,14 @@
 /// By how much later each further instance tries to take the lease, so that not all do.
 const TURN: Duration = Duration::from_millis(300);
 /// Time between looks at an engine that loads.
-const LOOK_INTERVAL: Duration = Duration::from_millis(200);
-/// Time from an order to the first look: no engine loads faster.
-const FIRST_LOOK: Duration = Duration::from_millis(1_300);
+const LOOK_INTERVAL: Duration = Duration::from_millis(120);
+/// Time that a load is expected to take before any was timed.
+const START_LOAD_TIME: Duration = Duration::from_millis(1_500);
+/// Part of the expected time after which a loading engine is looked at, and after which the next
+/// engine is freed of requests.
+const FIRST_LOOK_PART: f64 = 0.75;
+/// Weight of a new sample of the time that a load takes.
+const LOAD_TIME_WEIGHT: f64 = 0.3;
 /// Time for the other instances to hear that an engine is about to load.
 const HEARD_TIME: Duration = Duration::from_millis(200);
 /// Longest time for one engine to load before it is left alone for a while.
@@ -125,13 +138,52 @@
     loaded: bool,
 }
 
+/// What the loads of one model's engines share.
+#[derive(Debug)]
+struct Pace {
+    /// Engines that load at the same time.
+    permits: Semaphore,
+    /// How many those may be.
+    most: usize,
+    /// Time that a load takes.
+    load_time: Mutex<Duration>,
+}
+
+impl Pace {
+    fn new(most: usize, load_time: Duration) -> Self {
+        Self {
+            permits: Semaphore::new(most),
+            most,
+            load_time: Mutex::new(load_time),
+        }
+    }
+
+    fn first_look(&self) -> Duration {
+        self.load_time.lock().mul_f64(FIRST_LOOK_PART)
+    }
+
+    fn learn(&self, sample: Duration) {
+        let mut time = self.load_time.lock();
+        *time = time.mul_f64(1.0 - LOAD_TIME_WEIGHT) + sample.mul_f64(LOAD_TIME_WEIGHT);
+    }
+}
+
+/// An engine that loads, or is being freed of requests before.
+#[derive(Debug)]
+struct Loading {
+    endpoint: Arc<Endpoint>,
+    /// Whether the load is about to end, so that the next engine can be freed of requests.
+    is_ending: Arc<AtomicBool>,
+}
+
 /// What the holder of the lease has under way.
 struct Work<P, W> {
     node: Arc<Node<P>>,
     table: W,
     keeper: Keeper<W>,
     tasks: JoinSet<Ended>,
-    loading: Vec<Arc<Endpoint>>,
+    loading: Vec<Loading>,
+    pace: Arc<Pace>,
     /// Engines that did not load, each with when to try again.
     resting: Vec<(Arc<str>, Instant)>,
     renewed: Option<Instant>,
@@ -150,6 +202,7 @@
         table,
         tasks: JoinSet::new(),
         loading: Vec::new(),
+        pace: Arc::new(Pace::new(most_loading(0), START_LOAD_TIME)),
         resting: Vec::new(),
         renewed: None,
         busy_since: None,
@@ -176,7 +229,8 @@
         };
         endpoint.set_loading(false);
         let name = endpoint.registration.name.clone();
-        self.loading.retain(|e| e.registration.name != name);
+        self.loading
+            .retain(|l| l.endpoint.registration.name != name);
         if !loaded {
             self.resting.push((name, Instant::now() + FAILED_PAUSE));
         }
@@ -239,17 +293,28 @@
 
     /// Starts as many loads as may run now.
     fn order(&mut self, wanted: &Wanted) {
-        let engines = engines(&self.node, &wanted.model);
+        let mut engines = engines(&self.node, &wanted.model);
+        let turn = rand::random::<u32>() as usize % engines.len().max(1);
+        engines.rotate_left(turn);
+        // The oldest weights run out first.
+        engines.sort_by_key(|engine| engine.version());
         let weights: Vec<Weights> = engines.iter().map(|e| self.weights(e, wanted)).collect();
         let most = most_loading(engines.len());
-        let picked = pick_within(&weights, self.loading.len(), most, rand::random::<u32>() as usize);
+        let picked = pick_within(&weights, self.under_way(), most);
+        self.set_pace(most);
         for index in picked {
             let endpoint = engines[index].clone();
             endpoint.set_loading(true);
-            self.loading.push(endpoint.clone());
+            let is_ending = Arc::new(AtomicBool::new(false));
+            self.loading.push(Loading {
+                endpoint: endpoint.clone(),
+                is_ending: is_ending.clone(),
+            });
             let load = Load {
                 node: self.node.clone(),
                 endpoint,
+                pace: self.pace.clone(),
+                is_ending,
                 model: wanted.model.clone(),
                 version: wanted.version,
             };
@@ -257,9 +322,28 @@
         }
     }
 
+    /// Loads that take up room; one that is about to end makes room for the next.
+    fn under_way(&self) -> usize {
+        let full = self.loading.iter();
+        full.filter(|l| !l.is_ending.load(Ordering::Relaxed))
+            .count()
+    }
+
+    /// Loads that have begun go on under the pace that they began with.
+    fn set_pace(&mut self, most: usize) {
+        if self.pace.most != most {
+            let load_time = *self.pace.load_time.lock();
+            self.pace = Arc::new(Pace::new(most, load_time));
+        }
+    }
+
     fn weights(&self, engine: &Endpoint, wanted: &Wanted) -> Weights {
         let name = &engine.registration.name;
-        if self.loading.iter().any(|e| e.registration.name == *name) {
+        if self
+            .loading
+            .iter()
+            .any(|l| l.endpoint.registration.name == *name)
+        {
             return Weights::Loading;
         }
         let rests = self.resting.iter().any(|(resting, _)| resting == name);
@@ -274,7 +358,10 @@
         let wanted = self.node.wanted.load_full();
         for wanted in wanted.iter() {
             let progress = self.progress(wanted);
-            let known = self.published.iter().position(|(model, _)| *model == wanted.model);
+            let known = self
+                .published
+                .iter()
+                .position(|(model, _)| *model == wanted.model);
             let news = match known {
                 Some(index) => self.published[index].1 != progress,
                 None => !progress.loading.is_empty(),
@@ -314,6 +401,8 @@
 struct Load<P> {
     node: Arc<Node<P>>,
     endpoint: Arc<Endpoint>,
+    pace: Arc<Pace>,
+    is_ending: Arc<AtomicBool>,
     model: String,
     version: u64,
 }
@@ -321,6 +410,8 @@
 impl<P: Protocol> Load<P> {
     async fn run(self) -> Ended {
         tokio::time::sleep(HEARD_TIME).await;
+        // Never closed.
+        let _permit = self.pace.permits.acquire().await.ok();
         let loaded = tokio::time::timeout(LOAD_TIMEOUT, self.load()).await;
         Ended {
             loaded: loaded.unwrap_or(false),
@@ -330,6 +421,7 @@
 
     /// Looks and orders until the engine serves the version; `false` if that is not to be had.
     async fn load(&self) -> bool {
+        let mut ordered: Option<Instant> = None;
         loop {
             let Some(report) = self.report().await else {
                 return false;
@@ -338,6 +430,9 @@
             let served = versions.find(|(model, _)| *model == self.model);
             if served.is_some_and(|(_, version)| *version >= self.version) {
                 self.endpoint.hear_version(self.version);
+                if let Some(at) = ordered {
+                    self.pace.learn(at.elapsed());
+                }
                 emit!(
                     info,
                     event::WEIGHTS_LOADED,
@@ -351,7 +446,12 @@
                 continue;
             }
             match self.give(report.accepted).await {
-                Some(Taken::Yes) => tokio::time::sleep(FIRST_LOOK).await,
+                Some(Taken::Yes) => {
+                    ordered.get_or_insert_with(Instant::now);
+                    tokio::time::sleep(self.pace.first_look()).await;
+                    self.is_ending.store(true, Ordering::Relaxed);
+                    self.node.rollout.notify_one();
+                }
                 Some(Taken::Busy) => tokio::time::sleep(LOOK_INTERVAL).await,
                 Some(Taken::Fenced | Taken::No) | None => return false,
             }
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -108,7 +108,12 @@
         match result {
             Ok(news) => {
                 if failures > 0 {
-                    emit!(info, event::TABLE_REGAINED, prefix = feed.prefix, failures = failures);
+                    emit!(
+                        info,
+                        event::TABLE_REGAINED,
+                        prefix = feed.prefix,
+                        failures = failures
+                    );
                     up(true);
                 }
                 failures = 0;
@@ -119,7 +124,12 @@
                 }
             }
             Err(WatchFault::Compacted(revision)) => {
-                emit!(info, event::HISTORY_LOST, prefix = feed.prefix, revision = revision);
+                emit!(
+                    info,
+                    event::HISTORY_LOST,
+                    prefix = feed.prefix,
+                    revision = revision
+                );
                 complete = false;
             }
             Err(WatchFault::Fault(fault)) => {
