--- a/crates/damaskd/src/caller/plain.rs
+++ b/crates/damaskd/src/caller/plain.rs
@@ -215,6 +215,7 @@
         let options = Options {
             connect: limits.connect_timeout,
             answer: attempts.remaining(),
+            keep: endpoint::pool::MAX_IDLE,
             reuse: self.route.route.repeatable,
         };
         let key = self.claim.as_deref().filter(|_| once);
--- a/crates/damaskd/src/caller/source.rs
+++ b/crates/damaskd/src/caller/source.rs
@@ -210,6 +210,7 @@
         let options = Options {
             connect: self.node.config.limits.connect_timeout,
             answer: self.attempts.remaining(),
+            keep: endpoint::pool::MAX_IDLE,
             reuse: self.prompt.route.route.repeatable,
         };
         let request = self.request(target, id)?;
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -39,8 +39,8 @@
     connection::SendError, //
 };
 
-/// Idle connections kept for one endpoint.
-const MAX_IDLE: usize = 256;
+/// Idle connections kept for one endpoint, unless an answer's options say otherwise.
+pub const MAX_IDLE: usize = 256;
 /// Time after which an idle connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
@@ -83,6 +83,9 @@
     /// connection just as a request goes out, which leaves the request's fate
     /// unknown; requests that may not be repeated do without.
     pub reuse: bool,
+    /// Idle connections to keep for the endpoint, this one among them. Endpoints bound the
+    /// connections of all instances together.
+    pub keep: usize,
 }
 
 /// Gives its connection back to the pool, or closes it when dropped.
@@ -90,6 +93,7 @@
 pub struct Lease {
     pool: Arc<Pool>,
     connection: Connection,
+    keep: usize,
 }
 
 impl Lease {
@@ -97,7 +101,7 @@
     pub fn give_back(self) {
         // An endpoint without echo could not be told from one that answers late.
         if self.connection.target().echoes_id {
-            self.pool.put(self.connection);
+            self.pool.put(self.connection, self.keep);
         }
     }
 }
@@ -168,7 +172,7 @@
         let idle = || reuse.then(|| self.take(target.address)).flatten();
         while let Some(mut connection) = idle() {
             match connection.send(request, options.answer).await {
-                Ok(response) => return Ok(self.answer(connection, response)),
+                Ok(response) => return Ok(self.answer(connection, response, options.keep)),
                 Err(SendError::Unsent { request: back, .. }) => request = *back,
                 Err(SendError::Failed(failure)) => return Err(failure),
             }
@@ -176,16 +180,25 @@
         let connection = Connection::open(target, options.connect).await?;
         let mut connection = connection.identified_by(self.id_header.clone());
         let response = connection.send(request, options.answer).await?;
-        Ok(self.answer(connection, response))
+        Ok(self.answer(connection, response, options.keep))
     }
 
-    fn answer(self: &Arc<Self>, connection: Connection, response: Response<Incoming>) -> Answer {
+    fn answer(
+        self: &Arc<Self>,
+        connection: Connection,
+        response: Response<Incoming>,
+        keep: usize,
+    ) -> Answer {
         let (head, body) = response.into_parts();
         let pool = self.clone();
         Answer {
             head,
             body,
-            lease: Lease { pool, connection },
+            lease: Lease {
+                pool,
+                connection,
+                keep,
+            },
         }
     }
 
@@ -201,7 +214,7 @@
         None
     }
 
-    fn put(&self, connection: Connection) {
+    fn put(&self, connection: Connection, keep: usize) {
         let address = connection.target().address;
         let since = Instant::now();
         let mut table = self.idle.lock();
@@ -214,7 +227,7 @@
             }
         };
         let idle = &mut table.entries[index].1;
-        if idle.len() < MAX_IDLE {
+        if idle.len() < keep {
             idle.push(Idle { connection, since });
         }
     }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -11,7 +11,8 @@
     Fault,
     Options,
     Target,
-    Verdict, //
+    Verdict,
+    pool::MAX_IDLE, //
 };
 use telemetry::{
     emit,
@@ -45,6 +46,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Least time left for which a request is sent to an endpoint.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
+/// Part of an endpoint's connections that may be idle, all instances together: one in so many.
+const IDLE_PARTS: usize = 4;
 /// When to come back after the request's time has run out.
 const DEADLINE_RETRY: Duration = Duration::from_millis(500);
 
@@ -165,6 +168,7 @@
             connect: CONNECT_TIMEOUT.min(time_left),
             answer: time_left,
             reuse: call.is_repeatable(),
+            keep: keep(node, call),
         };
         let request = call.outgoing::<P>(target, &attempt)?;
         let answer = node.pool.send(target, request, options).await?;
@@ -282,6 +286,17 @@
     }
 }
 
+/// Idle connections to keep for each endpoint of the call's service. Requests that may not be
+/// repeated never use one, so theirs are closed.
+fn keep<P: Protocol>(node: &Node<P>, call: &Call) -> usize {
+    if !call.is_repeatable() {
+        return 0;
+    }
+    let service = call.catalog.service(&call.service);
+    let most = service.map_or(0, |service| service.max_connections);
+    (most / IDLE_PARTS / node.sharers()).clamp(1, MAX_IDLE)
+}
+
 impl Attempts {
     /// Notes a whole answer that tells of an error; the endpoint is not asked again.
     pub fn note_error(&mut self, chosen: &Chosen, fault: Fault) {
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -102,6 +102,8 @@
 pub struct Service {
     /// Name, as endpoints give it when they register.
     pub name: Arc<str>,
+    /// Connections that one endpoint accepts from all instances together.
+    pub max_connections: usize,
     /// What model engines have in common; `None` for plain services.
     pub engine: Option<Engine>,
 }
