Send prefixes to their homes, fetch them from engines and the prefix store

A log of all choices showed 80 of 359 repeated prefixes going to another engine within 10 s: the pace learnt of each engine made those with cached prefixes look faster, and the home's prior of 0.5 lost against little load. The rest were evicted within 10 s at their home. Ruled out: differing homes between instances.

--- a/crates/damaskd/src/caller/choose.rs
+++ b/crates/damaskd/src/caller/choose.rs
@@ -126,6 +126,8 @@
         tail: chain.tail,
         now: node.beliefs.now(),
         seed: rand::random(),
+        fetch: None,
+        home_prior: choice::HOME_PRIOR,
     };
     let Some(choice) = pick(node, route, &eligible, &request) else {
         let message = format!("route {} has no endpoint left to try", route.name);
--- a/crates/policy/benches/choice.rs
+++ b/crates/policy/benches/choice.rs
@@ -102,6 +102,8 @@
             tail: 0.5,
             now: 5_000,
             seed: turn,
+            fetch: None,
+            home_prior: HOME_PRIOR,
         };
         pick(&candidates, &table, black_box(&request), &mut scratch)
     };
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -30,9 +30,11 @@
 const HOMES: usize = 2;
 /// Other candidates that are considered, drawn at random.
 const SAMPLES: usize = 2;
-/// Share of the missing blocks that the home of the first missing level is expected to have,
-/// since other instances send that level there too.
-const HOME_PRIOR: f32 = 0.5;
+/// Share of the missing blocks that a home is expected to have where instances share what they
+/// believe.
+pub const HOME_PRIOR: f32 = 0.5;
+/// Least blocks for which a fetch is worth its set-up.
+const MIN_FETCHED: f32 = 0.5;
 /// Share of the cost by which choices vary, so that instances do not all make the same.
 const JITTER: f32 = 0.05;
 
@@ -72,6 +74,12 @@
     pub now: Millis,
     /// Random number for ties and samples.
     pub seed: u64,
+    /// Cost of fetching a block from another endpoint, as a part of the cost of computing it;
+    /// `None` if endpoints do not fetch.
+    pub fetch: Option<f32>,
+    /// Share of the missing blocks that the home of the first missing level is expected to have,
+    /// since other instances send that level there too; [`HOME_PRIOR`] where beliefs are shared.
+    pub home_prior: f32,
 }
 
 /// A choice with its reasons.
@@ -87,6 +95,8 @@
     pub wait: f32,
     /// Expected time to the first token with all penalties, in seconds.
     pub cost: f32,
+    /// Another candidate that blocks can be fetched from.
+    pub source: Option<usize>,
 }
 
 /// Buffers that are used again for each choice.
@@ -178,6 +188,24 @@
         }
     }
 
+    /// The considered candidate that is expected to have most of the prompt.
+    fn source(&self, home_prior: f32) -> Option<Place> {
+        let places = self.considered.iter().map(|&index| {
+            let hits = self.hits[usize::from(index)];
+            Place {
+                index: usize::from(index),
+                hits,
+                prior: if self.is_home(index, first_missing(hits)) {
+                    home_prior
+                } else {
+                    0.0
+                },
+            }
+        });
+        let all = self.homes.len() as f32;
+        places.max_by(|a, b| a.expected(all).total_cmp(&b.expected(all)))
+    }
+
     fn is_home(&self, index: u16, depth: usize) -> bool {
         self.homes.get(depth).is_some_and(|home| home.1 == index)
     }
@@ -210,10 +238,18 @@
     scratch.expect(candidates, beliefs, request);
     scratch.consider(candidates, request);
     scratch.find_homes(candidates, request.levels);
+    let source = request
+        .fetch
+        .and_then(|_| scratch.source(request.home_prior));
     let choices = scratch.considered.iter().map(|&index| {
         let hits = scratch.hits[usize::from(index)];
         let is_home = scratch.is_home(index, first_missing(hits));
-        assess(candidates, usize::from(index), hits, is_home, request)
+        let place = Place {
+            index: usize::from(index),
+            hits,
+            prior: if is_home { request.home_prior } else { 0.0 },
+        };
+        assess(candidates, &place, source.as_ref(), request)
     });
     choices.min_by(|a, b| {
         let (a, b) = (jittered(a, request.seed), jittered(b, request.seed));
@@ -221,6 +257,23 @@
     })
 }
 
+/// A candidate with what it is expected to have.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    index: usize,
+    /// Blocks that are believed to be cached there.
+    hits: f32,
+    /// Part of the others that is expected to be cached too.
+    prior: f32,
+}
+
+impl Place {
+    /// Blocks that are expected to be cached, of `all`.
+    fn expected(&self, all: f32) -> f32 {
+        self.hits + (all - self.hits).max(0.0) * self.prior
+    }
+}
+
 /// Depth of the first level that is not expected to be cached.
 fn first_missing(hits: f32) -> usize {
     (hits + 0.5) as usize
@@ -229,24 +282,27 @@
 /// The cost of one candidate.
 fn assess(
     candidates: &[Candidate<'_>],
-    index: usize,
-    hits: f32,
-    is_home: bool,
+    place: &Place,
+    source: Option<&Place>,
     request: &Request<'_>,
 ) -> Choice {
-    let candidate = &candidates[index];
-    let absent = (request.levels.len() as f32 - hits).max(0.0);
-    let prior = if is_home { HOME_PRIOR } else { 0.0 };
-    let missed = absent + request.tail;
-    let expected = missed - absent * prior;
+    let candidate = &candidates[place.index];
+    let all = request.levels.len() as f32;
+    let own = place.expected(all);
+    let source = source.filter(|s| s.index != place.index && s.expected(all) > own + MIN_FETCHED);
+    let fetched = source.map_or(0.0, |source| source.expected(all) - own);
+    let missed = (all - place.hits).max(0.0) + request.tail;
+    let computed = (all - own - fetched).max(0.0) + request.tail;
+    let expected = computed + fetched * request.fetch.unwrap_or(1.0);
     let wait = candidate.ahead + candidate.reported;
     let harm = candidate.harm.min(expected);
     Choice {
-        index,
-        hits,
-        missed,
+        index: place.index,
+        hits: place.hits,
+        missed: if fetched > 0.0 { expected } else { missed },
         wait,
         cost: (wait + expected + harm + candidate.doubt) * candidate.block_seconds,
+        source: source.map(|source| source.index),
     }
 }
 
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -88,6 +88,8 @@
             tail: 0.3,
             now,
             seed: self.random,
+            fetch: None,
+            home_prior: HOME_PRIOR,
         };
         let choice = pick(&self.candidates, &self.beliefs, &request, &mut self.scratch)?;
         let candidate = &mut self.candidates[choice.index];
@@ -136,6 +138,8 @@
         tail: 0.0,
         now: 1000,
         seed: 7,
+        fetch: None,
+        home_prior: HOME_PRIOR,
     };
     let mut expected = |epoch| {
         let mut candidate = instance.candidates[index];
@@ -263,6 +267,8 @@
             tail: 0.5,
             now: 1000,
             seed,
+            fetch: None,
+            home_prior: HOME_PRIOR,
         };
         let choice = pick(&candidates, &table, &request, &mut Scratch::default()).unwrap();
         // Both are sampled at most seeds; then the second must win.
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -160,7 +160,8 @@
                 salt: call.salt(chosen.version),
                 version: chosen.version,
                 priority: call.priority(),
-                fetch_from: None,
+                fetch_from: chosen.source,
+                save_to: chosen.save_to,
             }),
             last_event,
         };
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -1,6 +1,7 @@
 //! What is served: routes, workspaces with their keys, and services.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -106,6 +107,8 @@
     pub max_connections: usize,
     /// What model engines have in common; `None` for plain services.
     pub engine: Option<Engine>,
+    /// Where prefixes are kept for engines, if the service is such a store.
+    pub prefix_store: Option<SocketAddr>,
 }
 
 /// Bounds on what callers may send.
@@ -196,6 +199,11 @@
         place.ok().map(|index| &self.services[index])
     }
 
+    /// The store that keeps prefixes for engines, if there is one.
+    pub fn prefix_store(&self) -> Option<SocketAddr> {
+        self.services.iter().find_map(|s| s.prefix_store)
+    }
+
     /// All workspaces that have a key, each at least once.
     pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
         self.keys.iter().map(|entry| &entry.1)
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::Ordering, //
@@ -58,6 +59,19 @@
 /// about a minute.
 const CACHE_HORIZON: Millis = 30_000;
 
+/// Cost of fetching a block from another engine, as a part of the cost of computing it: the links
+/// between engines carry a block's memory about eight times as fast.
+const FETCH_COST: f32 = 0.15;
+
+/// Share of the blocks not known to be anywhere that their home is expected to have: other
+/// instances send most of their requests with the same prefix there.
+const HOME_PRIOR: f32 = 0.95;
+/// Least blocks missing for which the store of prefixes is asked and told.
+const MIN_KEPT_BLOCKS: f32 = 1.5;
+/// Time to compute one block, in seconds. Answers do not tell how much of a prompt was cached, so
+/// that engines with more of it would look faster.
+const BLOCK_SECONDS: f32 = 0.036;
+
 thread_local! {
     static SCRATCH: RefCell<Scratch> = RefCell::default();
 }
@@ -69,6 +83,10 @@
     pub endpoint: Arc<Endpoint>,
     /// Weights version that it is asked for; 0 for plain services.
     pub version: u64,
+    /// Another engine, or a store, that may have more of the prompt.
+    pub source: Option<SocketAddr>,
+    /// A store that is to keep the prompt's prefix too.
+    pub save_to: Option<SocketAddr>,
     slot: Slot,
     known: Arc<health::Endpoint>,
     holder: Holder,
@@ -111,6 +129,8 @@
         tail: chain.tail,
         now,
         seed: rand::random(),
+        fetch: Some(FETCH_COST),
+        home_prior: HOME_PRIOR,
     };
     let objective = call.route.objective.as_secs_f32();
     let Some(choice) = pick(node, call, &eligible, objective, &request) else {
@@ -118,6 +138,18 @@
         let refusal = Refusal::not_run(Reason::NoEndpoint, message);
         return Err(refusal.retry_after(NO_ENDPOINT_RETRY));
     };
+    let source = choice.source.map(|index| &eligible[index].endpoint);
+    // Another version's memory is of no use.
+    let same =
+        |source: &&Arc<Endpoint>| source.version() == eligible[choice.index].endpoint.version();
+    let source = source
+        .filter(same)
+        .map(|source| source.registration.address);
+    let missing = chain.levels.len() as f32 - choice.hits;
+    let store = call
+        .catalog
+        .prefix_store()
+        .filter(|_| missing > MIN_KEPT_BLOCKS);
     let Eligible {
         endpoint,
         known,
@@ -128,6 +160,8 @@
     node.beliefs.raise(&chain.levels, view.holder);
     Ok(Chosen {
         version: endpoint.version(),
+        source: source.or(store),
+        save_to: store,
         slot: known.count.enter(call.class(), choice.missed),
         endpoint,
         holder: view.holder,
@@ -207,7 +241,7 @@
 ) -> Option<Choice> {
     let class = call.class();
     let candidate = |e: &Eligible| {
-        let block_seconds = e.view.estimate.block_seconds;
+        let block_seconds = BLOCK_SECONDS;
         let old = objective * OLD_WEIGHTS_PART / block_seconds;
         Candidate {
             name: "",
@@ -232,12 +266,7 @@
 impl Chosen {
     /// Learns from the first byte or event of the answer.
     pub fn began(&self) {
-        let elapsed = self.sent.elapsed().as_secs_f32();
-        let choice = &self.choice;
-        self.known.learn(|estimate| {
-            estimate.breaker.succeeded();
-            estimate.began(elapsed, choice.wait, choice.missed);
-        });
+        self.known.learn(|estimate| estimate.breaker.succeeded());
         self.slot.began();
     }
 
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -14,9 +14,9 @@
 
 /// Time between the rows that an instance writes of itself.
 pub const BEAT: Duration = Duration::from_secs(2);
-/// Instances whose row has not changed for this long are not named to callers: two beats may
-/// be lost.
-const NAMED_HORIZON: Duration = Duration::from_secs(6);
+/// Instances whose row has not changed for this long are not named to callers: one beat may be
+/// lost.
+const NAMED_HORIZON: Duration = Duration::from_millis(4_500);
 /// Instances whose row has not changed for this long have no share of the limits any more; one
 /// that is cut off from the table may go on serving for as long.
 const COUNTED_HORIZON: Duration = Duration::from_secs(60);
--- a/crates/router/src/protocol.rs
+++ b/crates/router/src/protocol.rs
@@ -97,8 +97,10 @@
     pub version: u64,
     /// Rank, 0 before all others.
     pub priority: u8,
-    /// Another engine from which cached prefixes may be fetched.
+    /// Another engine, or a store, from which cached prefixes may be fetched.
     pub fetch_from: Option<SocketAddr>,
+    /// A store that is to keep the prefixes too.
+    pub save_to: Option<SocketAddr>,
 }
 
 /// Why an endpoint did not run a request.
