Let three hubs read the table and pass on what changes by datagrams

Ruled out: slower beats alone (liveness and shares of limits would lag). Each instance now beats to three hubs; hubs tell in digests who lives, what is asked for and how far their copies go, and push changes.

--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -8,8 +8,11 @@
 
 use bytes::Bytes;
 use http::Method;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use serde::{
+    Deserialize,
+    Serialize,
+    de::DeserializeOwned, //
+};
 use thiserror::Error;
 
 use crate::http::{
@@ -136,6 +139,7 @@
 
 /// One row that has changed.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Change {
     /// Key of the row.
     pub key: String,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod choice;
 pub mod fair;
 pub mod freshness;
+pub mod hub;
 pub mod load;
 pub mod prefix;
 pub mod rank;
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -45,12 +45,12 @@
     }
 }
 
-/// The share of one instance, from 0 to 1.
+/// The share of one of `instances`, from 0 to 1.
 ///
-/// `own` is what this instance has published, `others` what the others have.
-pub fn fraction(own: f64, others: &[f64]) -> f64 {
-    let count = (others.len() + 1) as f64;
-    let total = own + others.iter().sum::<f64>();
+/// `own` is the demand that this instance has published, `others` what all others have together.
+pub fn fraction(own: f64, others: f64, instances: usize) -> f64 {
+    let count = instances.max(1) as f64;
+    let total = own + others;
     if total <= 0.0 {
         return 1.0 / count;
     }
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -7,10 +7,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::{
-        Duration,
-        Instant, //
-    }, //
+    time::Duration, //
 };
 
 use policy::{
@@ -90,9 +87,7 @@
     slot: Slot,
     known: Arc<health::Endpoint>,
     holder: Holder,
-    choice: Choice,
     levels: Vec<u64>,
-    sent: Instant,
 }
 
 /// A candidate with what belongs to it.
@@ -166,9 +161,7 @@
         endpoint,
         holder: view.holder,
         known,
-        choice,
         levels: chain.levels,
-        sent: Instant::now(),
     })
 }
 
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -54,6 +54,8 @@
     pub probes: SocketAddr,
     /// Other instances.
     pub peers: SocketAddr,
+    /// Datagrams of other instances.
+    pub exchange: SocketAddr,
 }
 
 /// Bounds that the deployment sets.
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -22,7 +22,7 @@
 
 /// Addresses of the instances that `caller` should use.
 pub fn addresses<P: Protocol>(node: &Node<P>, _caller: &Whereabouts) -> Vec<SocketAddr> {
-    let mut named = node.members.named(clock::now());
+    let mut named = node.members.named(&node.config.name, clock::now());
     named.retain(|member| *member.name != *node.config.name);
     let mut addresses: Vec<SocketAddr> = named.iter().map(|member| member.row.callers).collect();
     if node.is_ready() {
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -72,6 +72,21 @@
         self.registry.lock().lenient_until = Duration::MAX;
     }
 
+    /// For how much longer rows that are gone may come back.
+    pub fn lenient(&self, now: Duration) -> Duration {
+        self.registry.lock().lenient_until.saturating_sub(now)
+    }
+
+    /// Notes what another instance says of how much longer rows that are gone may come back.
+    pub fn set_lenient(&self, now: Duration, time: Duration) {
+        if time.is_zero() {
+            return;
+        }
+        let mut registry = self.registry.lock();
+        let until = now.saturating_add(time.min(RETURN_TIME));
+        registry.lenient_until = registry.lenient_until.max(until);
+    }
+
     /// Drops the endpoints whose rows have not come back in time.
     pub fn expire(&self, now: Duration) {
         let mut registry = self.registry.lock();
--- /dev/null
+++ b/crates/router/src/message.rs
@@ -0,0 +1,146 @@
+//! What instances tell each other in datagrams.
+//!
+//! The codec is postcard: datagrams come without a connection, so that remote
+//! procedure calls do not fit. All of them may be lost, repeated or late.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    mirror::{
+        Delta,
+        Extent, //
+    },
+    protocol::Invalid, //
+};
+
+/// Largest datagram, in bytes; larger changes are fetched over a connection.
+pub const MAX_BYTES: usize = 8 << 10;
+/// First bytes of each datagram, which change with its layout.
+const MAGIC: [u8; 4] = *b"dmk1";
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Message {
+    /// An instance tells a hub that it lives.
+    Beat(Beat),
+    /// A hub tells all others what it knows.
+    Digest(Digest),
+    /// A hub passes on changes.
+    Push(Push),
+}
+
+/// An instance tells a hub that it lives.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Beat {
+    /// Name of the instance.
+    pub name: String,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Units a second that its callers ask for, by workspace.
+    pub demand: Vec<(String, f32)>,
+}
+
+/// An instance as a hub knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Alive {
+    /// Hash of its name.
+    pub name: u64,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Time since it was heard, in milliseconds.
+    pub ago_ms: u32,
+}
+
+/// What a hub tells all others.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Digest {
+    /// Name of the hub.
+    pub hub: String,
+    /// Age of its view of the table, in milliseconds.
+    pub view_age_ms: u32,
+    /// For how much longer rows of endpoints that are gone may come back, in milliseconds.
+    pub lenient_ms: u32,
+    /// How far its copies of the rows go.
+    pub extents: Extents,
+    /// Instances that it has heard.
+    pub alive: Vec<Alive>,
+    /// Units a second that all callers ask for, by workspace.
+    pub demand: Vec<(String, f32)>,
+}
+
+/// How far an instance's copies of the rows go.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Extents {
+    /// What operators wrote.
+    pub operator: Extent,
+    /// What endpoints wrote.
+    pub endpoints: Extent,
+    /// What instances wrote.
+    pub own: Extent,
+}
+
+/// Whose rows are meant.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Feed {
+    /// What operators wrote.
+    Operator,
+    /// What endpoints wrote.
+    Endpoints,
+    /// What instances wrote.
+    Own,
+}
+
+/// A hub passes on changes.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Push {
+    /// For how much longer rows of endpoints that are gone may come back, in milliseconds.
+    pub lenient_ms: u32,
+    /// Whose rows have changed.
+    pub feed: Feed,
+    /// The changes.
+    pub delta: Delta,
+}
+
+/// What an instance lacks, by feed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Deltas {
+    /// What operators wrote.
+    pub operator: Delta,
+    /// What endpoints wrote.
+    pub endpoints: Delta,
+    /// What instances wrote.
+    pub own: Delta,
+}
+
+impl Message {
+    /// The datagram; `None` if it is too large for one.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let mut bytes = MAGIC.to_vec();
+        // Fails only if it is too large for memory.
+        bytes.extend(postcard::to_stdvec(self).ok()?);
+        (bytes.len() <= MAX_BYTES).then_some(bytes)
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// If it is not one of ours.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Invalid> {
+        let body = bytes
+            .strip_prefix(&MAGIC)
+            .ok_or_else(|| Invalid("not a datagram of this version".to_owned()))?;
+        postcard::from_bytes(body).map_err(|error| Invalid(error.to_string()))
+    }
+}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{
             AtomicBool,
+            AtomicUsize,
             Ordering, //
         }, //
     },
@@ -18,7 +19,10 @@
 };
 use endpoint::Pool;
 use parking_lot::Mutex;
-use platform::table::Change;
+use platform::{
+    http::Client,
+    table::Change, //
+};
 use policy::repeat::{
     Allowance,
     Budget, //
@@ -40,11 +44,13 @@
     catalog::Catalog,
     config::Config,
     endpoints::Endpoints,
+    exchange::Exchange,
     instance,
     mirror::{
         Mirror,
         State, //
     },
+    peer,
     protocol::{
         Operator,
         Protocol, //
@@ -95,6 +101,8 @@
 pub struct Node<P> {
     /// Settings of this instance.
     pub config: Config,
+    /// Chosen at start; tells this life of the instance from others.
+    pub life: u64,
     /// Copies of the table's rows.
     pub mirrors: Mirrors,
     /// Configuration in force; none before the first was heard of.
@@ -111,6 +119,10 @@
     pub beliefs: belief::Table,
     /// What is learnt of endpoints, and requests that run there.
     pub health: health::Table,
+    /// What was heard of the others by datagrams.
+    pub exchange: Exchange,
+    /// Calls to the peer planes of other instances.
+    pub peers: Client,
     /// What this instance may spend of each workspace's limit.
     pub quotas: Arc<quota::Table>,
     /// The lease for orders to engines.
@@ -123,10 +135,15 @@
     ///
     /// Sorted by service.
     repeats: Mutex<Vec<(Arc<str>, Budget)>>,
+    /// Place of this instance among the hubs; [`NO_HUB`] if it is none.
+    hub: AtomicUsize,
     stopping: AtomicBool,
     protocol: PhantomData<P>,
 }
 
+/// Not a place among the hubs.
+const NO_HUB: usize = usize::MAX;
+
 impl<P: Protocol> Node<P> {
     /// Puts together a node that has yet to hear of any configuration.
     ///
@@ -136,6 +153,7 @@
     pub fn new(config: Config) -> anyhow::Result<Self> {
         Ok(Self {
             config,
+            life: rand::random(),
             mirrors: Mirrors::default(),
             catalog: ArcSwapOption::empty(),
             wanted: ArcSwap::default(),
@@ -144,11 +162,14 @@
             pool: Arc::new(Pool::new(P::id_header())),
             beliefs: belief::Table::new(MAX_BELIEFS),
             health: health::Table::default(),
+            exchange: Exchange::default(),
+            peers: Client::new(peer::ANSWER_TIMEOUT),
             quotas: Arc::default(),
             lease: Lease::default(),
             rollout: Notify::new(),
             metrics: Metrics::new()?,
             repeats: Mutex::default(),
+            hub: AtomicUsize::new(NO_HUB),
             stopping: AtomicBool::new(false),
             protocol: PhantomData,
         })
@@ -164,6 +185,25 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Place of this instance among the hubs, if it is one.
+    pub fn hub(&self) -> Option<usize> {
+        let place = self.hub.load(Ordering::Relaxed);
+        (place != NO_HUB).then_some(place)
+    }
+
+    /// Notes the place of this instance among the hubs.
+    pub fn set_hub(&self, place: Option<usize>) {
+        let place = place.unwrap_or(NO_HUB);
+        if self.hub.swap(place, Ordering::Relaxed) != place {
+            self.exchange.uncovered.notify_waiters();
+        }
+    }
+
+    /// Whether a configuration is known.
+    pub fn has_catalog(&self) -> bool {
+        self.catalog.load().is_some()
+    }
+
     /// Whether a request would be served.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.catalog.load().is_some()
@@ -251,9 +291,11 @@
             rollout::hear(self, change);
             self.hear_instance(change);
         }
-        let now = clock::now();
-        self.quotas
-            .divide(&self.members.others(&self.config.name, now));
+    }
+
+    /// Works out anew what this instance may spend of each workspace's limit.
+    pub fn divide_quotas(&self) {
+        self.quotas.divide(&self.exchange.demand(), self.sharers());
     }
 
     fn hear_instance(&self, change: &Change) {
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    message::Deltas,
     mirror::State,
     node::Node,
     protocol::Protocol, //
@@ -22,13 +23,16 @@
 
 /// Where an instance tells what it knows.
 pub const STATE_PATH: &str = "/v1/state";
+/// Where an instance tells what has changed; the revisions that the asking one has of the rows of
+/// operators, endpoints and instances follow, each after a slash.
+pub const CHANGES_PATH: &str = "/v1/changes";
 
 /// Time for the table to answer before peers are asked.
 const TABLE_FIRST: Duration = Duration::from_millis(300);
 /// Pause between rounds of questions while nothing is known.
 const ROUND_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for one answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Asks the seeds until a configuration is known, from them or from the table.
 pub async fn bootstrap<P: Protocol>(node: Arc<Node<P>>) {
@@ -61,3 +65,38 @@
         Err(error) => emit!(warn, event::PEER_FAULT, reason = %error),
     }
 }
+
+/// Asks another instance for what this one lacks.
+///
+/// # Errors
+///
+/// If no readable answer came.
+pub async fn changes<P: Protocol>(
+    node: &Node<P>,
+    client: &Client,
+    address: SocketAddr,
+) -> anyhow::Result<Deltas> {
+    let mirrors = &node.mirrors;
+    let path = format!(
+        "{CHANGES_PATH}/{}/{}/{}",
+        mirrors.operator.revision(),
+        mirrors.endpoints.revision(),
+        mirrors.own.revision(),
+    );
+    let answer = client.call(Method::GET, address, &path, Bytes::new());
+    Ok(serde_json::from_slice(&answer.await?.body)?)
+}
+
+/// What the asking instance lacks; `None` if the path is not that of such a question.
+pub fn answer_changes<P: Protocol>(node: &Node<P>, path: &str) -> Option<Bytes> {
+    let revisions = path.strip_prefix(CHANGES_PATH)?.strip_prefix('/')?;
+    let mut revisions = revisions.split('/').map(|text| text.parse().ok());
+    let mut next = || revisions.next().flatten();
+    let deltas = Deltas {
+        operator: node.mirrors.operator.since(next()?),
+        endpoints: node.mirrors.endpoints.since(next()?),
+        own: node.mirrors.own.since(next()?),
+    };
+    // Texts and numbers always encode.
+    Some(Bytes::from(serde_json::to_vec(&deltas).unwrap_or_default()))
+}
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -31,6 +31,7 @@
         Service, //
     },
     node::Node,
+    peer,
     plain,
     protocol::Protocol,
     refusal::{
@@ -220,10 +221,14 @@
 
 impl<P: Protocol> Service for Peers<P> {
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
-        if request.uri().path() != crate::peer::STATE_PATH {
-            return status(StatusCode::NOT_FOUND);
+        let path = request.uri().path();
+        if path == peer::STATE_PATH {
+            return json(self.0.state().encode());
+        }
+        match peer::answer_changes(&self.0, path) {
+            Some(changes) => json(changes),
+            None => status(StatusCode::NOT_FOUND),
         }
-        json(self.0.state().encode())
     }
 
     fn head_timeout(&self) -> Duration {
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -13,10 +13,7 @@
     Tolerance, //
 };
 
-use crate::{
-    catalog::Workspace,
-    instance::Member, //
-};
+use crate::catalog::Workspace;
 
 /// Part of its share that an instance starts with: it may have spent the rest before a restart.
 const START_PART: f64 = 0.5;
@@ -110,27 +107,23 @@
     }
 
     /// Demand by workspace, to be published; the shares count what was published last.
-    pub fn publish(&self, now: Duration) -> Vec<(String, f64)> {
+    pub fn publish(&self, now: Duration) -> Vec<(String, f32)> {
         let mut entries = self.entries.lock();
         let publish = |entry: &mut Entry| {
             entry.published = entry.demand.rate(now).round();
-            (entry.workspace.to_string(), entry.published)
+            (entry.workspace.to_string(), entry.published as f32)
         };
         entries.iter_mut().map(publish).collect()
     }
 
-    /// Works the shares out anew from what all instances have published.
-    pub fn divide(&self, others: &[Member]) {
+    /// Works the shares out anew from the demand at all `instances` together.
+    pub fn divide(&self, total: &[(String, f32)], instances: usize) {
         let mut entries = self.entries.lock();
         for entry in entries.iter_mut() {
-            let demand = |member: &Member| {
-                let mut published = member.row.demand.iter();
-                published
-                    .find(|(name, _)| **name == *entry.workspace)
-                    .map_or(0.0, |(_, rate)| *rate)
-            };
-            let demands: Vec<f64> = others.iter().map(demand).collect();
-            entry.fraction = share::fraction(entry.published, &demands);
+            let place = total.binary_search_by(|(name, _)| (**name).cmp(&entry.workspace));
+            let all = place.map_or(0.0, |index| f64::from(total[index].1));
+            let others = (all - entry.published).max(0.0);
+            entry.fraction = share::fraction(entry.published, others, instances);
         }
     }
 
--- a/crates/router/src/rollout.rs
+++ b/crates/router/src/rollout.rs
@@ -285,7 +285,7 @@
 
     /// How long to leave the lease to instances that come first in order of their names.
     fn turn(&self) -> Duration {
-        let named = self.node.members.named(clock::now());
+        let named = self.node.members.heard(clock::now());
         let own = &*self.node.config.name;
         let before = named.iter().filter(|member| *member.name < *own).count();
         TURN.saturating_mul(u32::try_from(before).unwrap_or(u32::MAX))
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -17,22 +17,22 @@
     emit,
     event, //
 };
+use tokio::net::UdpSocket;
 
 use crate::{
     INSTANCES,
     OWN,
-    instance::{
-        BEAT,
-        Row, //
-    },
+    exchange,
+    instance::Row,
+    message::Feed,
     mirror::Mirror,
     node::Node,
     protocol::Protocol, //
 };
 
-/// How long the table may hold back its answer while nothing changes. A connection that went
-/// silent is noticed after that, so it is below the time in which configurations must be in force.
-const OPERATOR_WAIT: Duration = Duration::from_millis(2_000);
+/// How long the table may hold back its answer while nothing changes. The answers tell that the
+/// view is fresh, for other instances too.
+const OPERATOR_WAIT: Duration = Duration::from_millis(700);
 /// The same for rows of endpoints and instances.
 const OTHER_WAIT: Duration = Duration::from_millis(2_500);
 /// Pause after changes, so that those that come together are read together.
@@ -44,8 +44,15 @@
 /// Pauses after the table gave no answer: the first one and the longest one.
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
 
+/// Time between rows that an instance writes of itself, so that others find it after the loss of
+/// all hubs.
+const ROW_INTERVAL: Duration = Duration::from_secs(20);
+/// Time between looks at whether the hubs still cover this instance.
+const COVER_INTERVAL: Duration = Duration::from_millis(200);
+
 /// What follows one prefix of the table.
-struct Feed<'a, N> {
+struct Follow<'a, N> {
+    feed: Feed,
     prefix: &'static str,
     mirror: &'a Mirror,
     wait: Duration,
@@ -55,22 +62,25 @@
 }
 
 /// Follows the table until the task is aborted.
-pub async fn run<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W) {
-    let operator = Feed {
+pub async fn run<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W, socket: &UdpSocket) {
+    let operator = Follow {
+        feed: Feed::Operator,
         prefix: P::OPERATOR,
         mirror: &node.mirrors.operator,
         wait: OPERATOR_WAIT,
         pause: OPERATOR_PAUSE,
         news: |changes: &[Change]| node.operator_changed(changes),
     };
-    let endpoints = Feed {
+    let endpoints = Follow {
+        feed: Feed::Endpoints,
         prefix: P::ENDPOINTS,
         mirror: &node.mirrors.endpoints,
         wait: OTHER_WAIT,
         pause: ENDPOINTS_PAUSE,
         news: |changes: &[Change]| node.endpoints_changed(changes),
     };
-    let own = Feed {
+    let own = Follow {
+        feed: Feed::Own,
         prefix: OWN,
         mirror: &node.mirrors.own,
         wait: OTHER_WAIT,
@@ -78,40 +88,59 @@
         news: |changes: &[Change]| node.own_changed(changes),
     };
     tokio::join!(
-        follow(&table, operator, |_| ()),
-        follow(&table, endpoints, |up| {
+        follow(&node, &table, socket, operator, |up| {
             if up {
                 node.endpoints.regained(clock::now());
             } else {
                 node.endpoints.lost();
             }
         }),
-        follow(&table, own, |up| {
-            if up {
-                node.members.forgive(clock::now());
-            }
-        }),
-        beat(&node, &table),
+        follow(&node, &table, socket, endpoints, |_| ()),
+        follow(&node, &table, socket, own, |_| ()),
+        write_row(&node, &table),
         expire(&node),
     );
 }
 
-async fn follow<W: Watch, N: Fn(&[Change])>(table: &W, feed: Feed<'_, N>, up: impl Fn(bool)) {
+/// Waits while hubs pass on what changes, unless this instance is one of them.
+async fn uncovered<P: Protocol>(node: &Node<P>) {
+    while node.hub().is_none() && node.exchange.is_covered(clock::now()) {
+        tokio::select! {
+            () = node.exchange.uncovered.notified() => {}
+            () = tokio::time::sleep(COVER_INTERVAL) => {}
+        }
+    }
+}
+
+async fn follow<P: Protocol, W: Watch, N: Fn(&[Change])>(
+    node: &Node<P>,
+    table: &W,
+    socket: &UdpSocket,
+    follow: Follow<'_, N>,
+    up: impl Fn(bool),
+) {
     let mut complete = false;
     let mut failures = 0_u32;
     loop {
+        if complete {
+            uncovered(node).await;
+        }
+        let base = follow.mirror.revision();
         let result = if complete {
-            watch(table, &feed).await
+            watch(table, &follow).await
         } else {
-            list(table, &feed).await
+            list(table, &follow).await
         };
         match result {
             Ok(news) => {
+                if matches!(follow.feed, Feed::Operator) {
+                    node.exchange.table_answered(clock::now());
+                }
                 if failures > 0 {
                     emit!(
                         info,
                         event::TABLE_REGAINED,
-                        prefix = feed.prefix,
+                        prefix = follow.prefix,
                         failures = failures
                     );
                     up(true);
@@ -119,22 +148,23 @@
                 failures = 0;
                 complete = true;
                 if !news.is_empty() {
-                    (feed.news)(&news);
-                    tokio::time::sleep(feed.pause).await;
+                    (follow.news)(&news);
+                    exchange::push(node, socket, follow.feed, base).await;
+                    tokio::time::sleep(follow.pause).await;
                 }
             }
             Err(WatchFault::Compacted(revision)) => {
                 emit!(
                     info,
                     event::HISTORY_LOST,
-                    prefix = feed.prefix,
+                    prefix = follow.prefix,
                     revision = revision
                 );
                 complete = false;
             }
             Err(WatchFault::Fault(fault)) => {
                 if failures == 0 {
-                    emit!(warn, event::TABLE_FAULT, prefix = feed.prefix, reason = %fault);
+                    emit!(warn, event::TABLE_FAULT, prefix = follow.prefix, reason = %fault);
                     up(false);
                 }
                 failures = failures.saturating_add(1);
@@ -144,12 +174,12 @@
     }
 }
 
-async fn list<W: Watch, N>(table: &W, feed: &Feed<'_, N>) -> Result<Vec<Change>, WatchFault> {
+async fn list<W: Watch, N>(table: &W, feed: &Follow<'_, N>) -> Result<Vec<Change>, WatchFault> {
     let range = table.range(feed.prefix).await?;
     Ok(feed.mirror.replace(range))
 }
 
-async fn watch<W: Watch, N>(table: &W, feed: &Feed<'_, N>) -> Result<Vec<Change>, WatchFault> {
+async fn watch<W: Watch, N>(table: &W, feed: &Follow<'_, N>) -> Result<Vec<Change>, WatchFault> {
     let after = feed.mirror.revision();
     let changes = table.changes(feed.prefix, after, feed.wait).await?;
     Ok(feed.mirror.apply(changes))
@@ -162,37 +192,44 @@
     pause.mul_f64(rand::rng().random_range(0.6..1.0))
 }
 
-/// Tells the others of this instance again and again.
-async fn beat<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
-    let mut count = 0;
+/// Writes the row of this instance once it is ready, and now and then.
+async fn write_row<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
+    let mut written = false;
     loop {
         if node.is_ready() {
-            count += 1;
-            tell(node, table, count).await;
+            written = tell(node, table).await;
         }
-        let pause = if count == 0 { BEAT / 20 } else { BEAT };
+        let pause = if written {
+            ROW_INTERVAL
+        } else {
+            ROW_INTERVAL / 200
+        };
         let jitter = rand::rng().random_range(0.9..1.1);
         tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
 }
 
-/// Tells the others of this instance.
-pub async fn tell<P: Protocol, W: Watch>(node: &Node<P>, table: &W, beat: u64) {
+/// Writes the row of this instance; `false` if that may have failed.
+pub async fn tell<P: Protocol, W: Watch>(node: &Node<P>, table: &W) -> bool {
+    let listen = &node.config.listen;
     let row = Row {
-        callers: node.config.listen.callers,
+        callers: listen.callers,
+        peers: listen.peers,
+        exchange: listen.exchange,
         domain: node.config.domain.clone(),
         leaving: node.is_stopping(),
-        beat,
-        demand: node.quotas.publish(clock::now()),
+        life: node.life,
     };
     // Texts and numbers always encode.
     let value = serde_json::to_vec(&row).unwrap_or_default();
     let key = format!("{INSTANCES}{}", node.config.name);
-    if let Err(fault) = table.transact(Txn::default().put(key, value)).await {
-        emit!(debug, event::TABLE_FAULT, prefix = INSTANCES, reason = %fault);
+    match table.transact(Txn::default().put(key, value)).await {
+        Ok(_) => true,
+        Err(fault) => {
+            emit!(debug, event::TABLE_FAULT, prefix = INSTANCES, reason = %fault);
+            false
+        }
     }
-    let others = node.members.others(&node.config.name, clock::now());
-    node.quotas.divide(&others);
 }
 
 /// Drops endpoints whose rows did not come back after an outage of the table.
