--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -30,6 +30,13 @@
     order
 }
 
+/// The best candidate for `subject` that is not leaving, as an index into `candidates`.
+pub fn first(subject: &str, candidates: &[Candidate<'_>]) -> Option<usize> {
+    let seed = xxh3_64_with_seed(subject.as_bytes(), 0);
+    let staying = (0..candidates.len()).filter(|&index| !candidates[index].leaving);
+    staying.max_by_key(|&index| xxh3_64_with_seed(candidates[index].name.as_bytes(), seed))
+}
+
 /// Moves a candidate of another domain next to each one, where there is one.
 fn spread(order: &mut [usize], candidates: &[Candidate<'_>]) {
     for place in 1..order.len() {
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -1,17 +1,15 @@
-//! Shares of a workspace's limit that instances take without asking each other.
-//!
-//! Each instance publishes what its callers ask for and takes the share of the
-//! limit that its part of the published demand gives it. Instances that have
-//! read the same numbers take shares that sum up to one.
+//! What a workspace may spend: one bucket at the instance that owns the workspace's limit, and a
+//! small one at each instance for the time in which the owner gives no answer.
 
 use std::time::Duration;
 
-/// Part of the limit that is split evenly, so that new demand finds a share before it is published.
-const EVEN_PART: f64 = 0.3;
-
-/// Part of the tolerance that is saved up ahead. The rest covers requests that overspend a share
-/// and shares that were worked out from different numbers.
+/// Part of the tolerance that is given out. The rest covers two owners at the same time, and
+/// requests that overspend.
 const TOLERANCE_PART: f64 = 0.5;
+/// Part of what a window may hold that comes evenly; the rest may come at once.
+const EVEN_PART: f64 = 0.7;
+/// Part of the capacity below which only the most urgent requests are let in.
+const RESERVE_PART: f64 = 0.15;
 
 /// What a limit is judged by: a window may hold `rate` times its length and `burst`, and a
 /// tolerance beyond that.
@@ -25,43 +23,47 @@
     pub slack: f64,
 }
 
-/// The share of a limit that one of `instances` may spend when its part of the demand is
-/// `fraction`.
-///
-/// Each instance saves up an even part of the tolerance: shares of many instances are small
-/// against single requests.
-pub fn share(
-    rate: f64,
-    burst: f64,
-    tolerance: Tolerance,
-    fraction: f64,
-    instances: usize,
-) -> Share {
-    let limit = rate * tolerance.window + burst;
-    let spare = (limit * tolerance.over + tolerance.slack) * TOLERANCE_PART;
-    Share {
-        rate: rate * fraction,
-        capacity: burst * fraction + spare / instances.max(1) as f64,
-    }
+/// What one bucket may give out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// Units a second.
+    pub rate: f64,
+    /// Units that may be saved up.
+    pub capacity: f64,
 }
 
-/// The share of one of `instances`, from 0 to 1.
-///
-/// `own` is the demand that this instance has published, `others` what all others have together.
-pub fn fraction(own: f64, others: f64, instances: usize) -> f64 {
-    let count = instances.max(1) as f64;
-    let total = own + others;
-    if total <= 0.0 {
-        return 1.0 / count;
+impl Share {
+    /// The whole limit, at its owner.
+    ///
+    /// Users judge a limit by what a window holds, so that a burst comes back within a window, not
+    /// only after a pause: any window holds at most `rate` times its length, `burst`, and the part
+    /// of the tolerance that is given out.
+    pub fn whole(rate: f64, burst: f64, tolerance: Tolerance) -> Self {
+        let limit = rate * tolerance.window + burst;
+        let spare = (limit * tolerance.over + tolerance.slack) * TOLERANCE_PART;
+        let even = (limit + spare) * EVEN_PART / tolerance.window;
+        let rate = rate.max(even);
+        Self {
+            rate,
+            capacity: limit + spare - rate * tolerance.window,
+        }
+    }
+
+    /// An even part of the limit, for one of `instances`.
+    pub fn even(rate: f64, burst: f64, instances: usize) -> Self {
+        let count = instances.max(1) as f64;
+        Self {
+            rate: rate / count,
+            capacity: burst / count,
+        }
     }
-    EVEN_PART / count + (1.0 - EVEN_PART) * own / total
 }
 
-/// What an instance may spend now.
+/// What may be spent now.
 ///
 /// A request is let in while the level is above zero and is charged in full, so that the level may
 /// fall below zero; what was overspent is paid back before the next one. A request larger than the
-/// whole share therefore waits its turn and is never refused for good.
+/// whole capacity therefore waits its turn and is never refused for good.
 ///
 /// # Invariants
 ///
@@ -72,43 +74,49 @@
     at: Duration,
 }
 
-/// The share of the limit in force, in units and units a second.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Share {
-    /// Units a second.
-    pub rate: f64,
-    /// Units that may be saved up.
-    pub capacity: f64,
-}
-
 impl Bucket {
-    /// A bucket that is filled to `part` of its capacity, from 0 to 1.
-    pub fn new(now: Duration, share: Share, part: f64) -> Self {
+    /// A bucket that was empty at `since`: what was spent before is not known.
+    pub fn new(since: Duration) -> Self {
         Self {
-            level: share.capacity * part,
-            at: now,
+            level: 0.0,
+            at: since,
         }
     }
 
-    /// Takes `cost` units, or tells how long to wait for them.
+    /// Takes `cost` units, or tells how long to wait for them. The most urgent requests may use
+    /// what is held back from the others.
     ///
     /// # Errors
     ///
     /// The time after which a request would be let in if no other came before.
-    pub fn take(&mut self, now: Duration, share: Share, cost: f64) -> Result<(), Duration> {
+    pub fn take(
+        &mut self,
+        now: Duration,
+        share: Share,
+        cost: f64,
+        urgent: bool,
+    ) -> Result<(), Duration> {
         self.fill(now, share);
-        if self.level > 0.0 {
+        let reserve = if urgent {
+            0.0
+        } else {
+            share.capacity * RESERVE_PART
+        };
+        if self.level > reserve {
             self.level -= cost;
             return Ok(());
         }
-        let missing = 1.0 - self.level;
+        let missing = reserve + 1.0 - self.level;
         let seconds = missing / share.rate.max(f64::MIN_POSITIVE);
         Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
     }
 
-    /// Gives back what a request did not use.
-    pub fn give_back(&mut self, units: f64) {
-        self.level += units;
+    /// Takes up to `extra` units for requests to come, as long as half of the capacity is left.
+    pub fn take_ahead(&mut self, share: Share, extra: f64) -> f64 {
+        let spare = self.level - share.capacity / 2.0;
+        let taken = extra.min(spare).max(0.0);
+        self.level -= taken;
+        taken
     }
 
     fn fill(&mut self, now: Duration, share: Share) {
@@ -117,33 +125,3 @@
         self.level = (self.level + share.rate * seconds).min(share.capacity);
     }
 }
-
-/// Demand, averaged so that old demand fades.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Demand {
-    rate: f64,
-    at: Duration,
-}
-
-/// Time after which demand counts 1/e; a few intervals between publications.
-const DEMAND_MEMORY: Duration = Duration::from_secs(4);
-
-impl Demand {
-    /// Counts a request.
-    pub fn add(&mut self, now: Duration, units: f64) {
-        self.fade(now);
-        self.rate += units / DEMAND_MEMORY.as_secs_f64();
-    }
-
-    /// Units a second.
-    pub fn rate(&mut self, now: Duration) -> f64 {
-        self.fade(now);
-        self.rate
-    }
-
-    fn fade(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.rate *= (-age / DEMAND_MEMORY.as_secs_f64()).exp();
-        self.at = now.max(self.at);
-    }
-}
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -18,8 +18,7 @@
     Limited, //
 };
 use hyper::body::Incoming;
-use policy::share::Tolerance;
-use state::clock;
+use settings::Class;
 
 use crate::{
     catalog::{
@@ -32,7 +31,10 @@
         Ask,
         Protocol, //
     },
-    quota::Charge,
+    quota::{
+        self,
+        Charge, //
+    },
     refusal::{
         Reason,
         Refusal, //
@@ -85,7 +87,7 @@
         route,
         workspace,
     };
-    let charge = charge(node, &call)?;
+    let charge = charge(node, &call).await?;
     Ok(Admitted { call, charge })
 }
 
@@ -183,22 +185,19 @@
         .any(|listed| listed.trim().eq_ignore_ascii_case(name))
 }
 
-fn charge<P: Protocol>(node: &Node<P>, call: &Call) -> Result<Option<Charge>, Refusal> {
+async fn charge<P: Protocol>(node: &Node<P>, call: &Call) -> Result<Option<Charge>, Refusal> {
     let Some(workspace) = &call.workspace else {
         return Ok(None);
     };
     let units = call.units(workspace);
-    let bounds = &node.config.bounds;
-    let tolerance = Tolerance {
-        window: bounds.quota_window.as_secs_f64(),
-        over: bounds.quota_over,
-        slack: bounds.quota_slack,
-    };
-    let charged = node
-        .quotas
-        .charge(workspace, units, tolerance, node.sharers(), clock::now());
+    let urgent = call.class() == Class::Urgent;
+    let charged = quota::charge(node, workspace, units, urgent).await;
     charged.map_err(|wait| {
-        let message = format!("workspace {} has used its share", workspace.name);
+        let (rate, burst) = workspace.limit.map_or((0, 0), |l| (l.rate, l.burst));
+        let message = format!(
+            "workspace {} has used its {rate} units a second and its burst of {burst}",
+            workspace.name
+        );
         Refusal::not_run(Reason::RateExceeded, message).retry_after(wait)
     })
 }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -37,6 +37,8 @@
     pub peer_seeds: Vec<SocketAddr>,
     /// Address of the platform's table.
     pub table: SocketAddr,
+    /// Bandwidth of this instance's link, in megabits a second.
+    pub link_mbps: f64,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -15,8 +15,7 @@
 use tokio::{
     net::{
         TcpListener,
-        TcpSocket,
-        UdpSocket, //
+        TcpSocket, //
     },
     signal::unix::{
         SignalKind,
@@ -82,7 +81,6 @@
 struct Daemon<P> {
     node: Arc<Node<P>>,
     stop: watch::Sender<bool>,
-    socket: Arc<UdpSocket>,
     /// Never sent to: the other planes serve until the process ends.
     _others: watch::Sender<bool>,
     callers: JoinHandle<()>,
@@ -114,21 +112,14 @@
             plane::Peers(node.clone()),
             never,
         )?;
-        let exchange = listen.exchange;
-        let socket = std::net::UdpSocket::bind(exchange).with_context(|| {
-            format!("listen.exchange: cannot listen at {exchange}; choose a free address")
-        })?;
-        socket.set_nonblocking(true)?;
-        let socket = Arc::new(UdpSocket::from_std(socket)?);
-        tokio::spawn(exchange::run(node.clone(), socket.clone()));
-        tokio::spawn(follow(node.clone(), table.clone(), socket.clone()));
+        tokio::spawn(exchange::run(node.clone()));
+        tokio::spawn(sync::run(node.clone(), table.clone()));
         tokio::spawn(peer::bootstrap(node.clone()));
         tokio::spawn(rollout::run(node.clone(), table.clone()));
         emit!(info, event::STARTED, instance = node.config.name);
         Ok(Self {
             node,
             stop,
-            socket,
             _others: others,
             callers,
         })
@@ -141,7 +132,7 @@
         emit!(info, event::STOPPING, instance = self.node.config.name);
         self.node.stop();
         let drained = async {
-            exchange::tell_leaving(&self.node, &self.socket).await;
+            exchange::tell_leaving(&self.node).await;
             sync::tell(&self.node, table).await;
             tokio::time::sleep(ACCEPT_AFTER_STOP).await;
             // Fails only if the plane is gone already.
@@ -158,10 +149,6 @@
     }
 }
 
-async fn follow<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W, socket: Arc<UdpSocket>) {
-    sync::run(node, table, &socket).await;
-}
-
 fn serve<S: Service>(
     field: &str,
     address: SocketAddr,
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -11,6 +11,7 @@
     time::Duration, //
 };
 
+use anyhow::Context;
 use parking_lot::Mutex;
 use platform::http::Client;
 use policy::hub::{
@@ -25,19 +26,26 @@
 };
 use tokio::{
     net::UdpSocket,
-    sync::Notify, //
+    sync::{
+        Notify,
+        oneshot, //
+    }, //
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    instance::Member,
+    instance::{
+        Member,
+        name_hash, //
+    },
     message::{
         Alive,
+        Ask,
         Beat,
         Deltas,
         Digest,
         Extents,
         Feed,
+        Grant,
         MAX_BYTES,
         Message,
         Push, //
@@ -48,13 +56,19 @@
     },
     node::Node,
     peer,
-    protocol::Protocol, //
+    protocol::Protocol,
+    quota, //
 };
 
 /// Time between the digests of a hub.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Digests between two beats.
 const DIGESTS_PER_BEAT: u32 = 3;
+/// Time for which changes that a hub has may be missing before this instance reads the table.
+const BEHIND_TIME: Duration = Duration::from_millis(600);
+/// Least bandwidth of a hub's link, in megabits a second, if any instance has as much: a change
+/// of the configuration goes to all others at once.
+const HUB_LINK_MBPS: u32 = 100;
 /// Time after which what was heard of a hub is dropped.
 const HEARD_HORIZON: Duration = Duration::from_secs(5);
 
@@ -84,21 +98,51 @@
     table_at: Option<Duration>,
     /// Whether a fetch from a hub is under way.
     fetching: bool,
-    demand: Vec<(String, f32)>,
+    /// Since when changes that a hub has are missing here.
+    behind_since: Option<Duration>,
+    /// Questions to owners of limits that wait for their answers.
+    asked: Vec<(u32, oneshot::Sender<Grant>)>,
+    last_id: u32,
 }
 
-/// What this instance has heard of the others.
-#[derive(Debug, Default)]
+/// What this instance has heard of the others, and how it tells them.
+#[derive(Debug)]
 pub struct Exchange {
+    socket: UdpSocket,
     state: Mutex<State>,
     /// Wakes whoever waits for the hubs to fall silent.
     pub uncovered: Notify,
 }
 
 impl Exchange {
+    /// Listens at `address`; needs a runtime.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be listened at; names it.
+    pub fn bind(address: SocketAddr) -> anyhow::Result<Self> {
+        let bind = || {
+            let socket = std::net::UdpSocket::bind(address)?;
+            socket.set_nonblocking(true)?;
+            UdpSocket::from_std(socket)
+        };
+        let socket = bind().with_context(|| {
+            format!("listen.exchange: cannot listen at {address}; choose a free address")
+        })?;
+        Ok(Self {
+            socket,
+            state: Mutex::default(),
+            uncovered: Notify::new(),
+        })
+    }
+
     /// Whether hubs with a fresh view of the table pass on what changes.
     pub fn is_covered(&self, now: Duration) -> bool {
         let state = self.state.lock();
+        let missing = |since| now.saturating_sub(since) > BEHIND_TIME;
+        if state.behind_since.is_some_and(missing) {
+            return false;
+        }
         let heard = state.hubs.iter().map(|hub| Heard {
             ago: now.saturating_sub(hub.at),
             view_age: hub.view_age,
@@ -111,11 +155,6 @@
         self.state.lock().table_at = Some(now);
     }
 
-    /// Units a second that all callers ask for, by workspace; empty before a hub was heard.
-    pub fn demand(&self) -> Vec<(String, f32)> {
-        self.state.lock().demand.clone()
-    }
-
     fn hear_hub(&self, digest: &Digest, now: Duration) {
         let mut state = self.state.lock();
         state
@@ -126,7 +165,6 @@
             at: now,
             view_age: Duration::from_millis(u64::from(digest.view_age_ms)),
         });
-        state.demand.clone_from(&digest.demand);
     }
 
     fn hear_beat(&self, beat: Beat, now: Duration) {
@@ -143,7 +181,11 @@
 }
 
 /// Whether this instance is a hub, and the addresses of the hubs.
-fn hubs<P: Protocol>(node: &Node<P>, members: &[Member]) -> (Option<usize>, Vec<SocketAddr>) {
+fn hubs<P: Protocol>(node: &Node<P>, members: Vec<Member>) -> (Option<usize>, Vec<SocketAddr>) {
+    let is_wide = |member: &Member| member.row.link_mbps >= HUB_LINK_MBPS;
+    let any_wide = members.iter().any(is_wide);
+    let mut members = members;
+    members.retain(|member| !any_wide || is_wide(member));
     let candidates: Vec<Candidate<'_>> = members
         .iter()
         .map(|member| Candidate {
@@ -160,14 +202,14 @@
 }
 
 /// Exchanges datagrams until the task is aborted.
-pub async fn run<P: Protocol>(node: Arc<Node<P>>, socket: Arc<UdpSocket>) {
-    tokio::join!(listen(node.clone(), socket.clone()), tell(&node, &socket));
+pub async fn run<P: Protocol>(node: Arc<Node<P>>) {
+    tokio::join!(listen(&node), tell(&node));
 }
 
-async fn listen<P: Protocol>(node: Arc<Node<P>>, socket: Arc<UdpSocket>) {
+async fn listen<P: Protocol>(node: &Arc<Node<P>>) {
     let mut buffer = vec![0; MAX_BYTES];
     loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
+        let (length, from) = match node.exchange.socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
                 emit!(warn, event::PEER_FAULT, reason = %error);
@@ -179,7 +221,7 @@
             continue;
         }
         match Message::decode(&buffer[..length]) {
-            Ok(message) => hear(&node, message, from).await,
+            Ok(message) => hear(node, message, from).await,
             Err(reason) => emit!(debug, event::PEER_REFUSED, peer = %from, reason = %reason),
         }
     }
@@ -189,8 +231,7 @@
     let now = clock::now();
     match message {
         Message::Beat(beat) => {
-            node.members
-                .hear_alive(xxh3_64(beat.name.as_bytes()), beat.leaving, now);
+            node.members.hear_alive(name_hash(&beat.name), beat.leaving, now);
             node.exchange.hear_beat(beat, now);
         }
         Message::Digest(digest) => hear_digest(node, &digest, from, now),
@@ -200,9 +241,46 @@
                 fetch(node, from);
             }
         }
+        Message::Ask(ask) => {
+            if let Some(grant) = quota::grant(node, &ask) {
+                send(node, &Message::Grant(grant), from).await;
+            }
+        }
+        Message::Grant(grant) => node.exchange.answer(grant),
     }
 }
 
+impl Exchange {
+    fn answer(&self, grant: Grant) {
+        let mut state = self.state.lock();
+        let place = state.asked.iter().position(|(id, _)| *id == grant.id);
+        let Some(index) = place else {
+            return;
+        };
+        let (_, asker) = state.asked.swap_remove(index);
+        drop(state);
+        // Whoever asked may have given up.
+        asker.send(grant).ok();
+    }
+
+    fn register(&self) -> (u32, oneshot::Receiver<Grant>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.state.lock();
+        state.asked.retain(|(_, asker)| !asker.is_closed());
+        state.last_id = state.last_id.wrapping_add(1);
+        let id = state.last_id;
+        state.asked.push((id, sender));
+        (id, receiver)
+    }
+}
+
+/// Asks the owner of a limit and waits for its answer, which may never come.
+pub async fn ask<P: Protocol>(node: &Node<P>, owner: SocketAddr, ask: Ask) -> Option<Grant> {
+    let (id, answer) = node.exchange.register();
+    send(node, &Message::Ask(Ask { id, ..ask }), owner).await;
+    answer.await.ok()
+}
+
 fn millis(value: u32) -> Duration {
     Duration::from_millis(u64::from(value))
 }
@@ -210,11 +288,11 @@
 fn hear_digest<P: Protocol>(node: &Arc<Node<P>>, digest: &Digest, from: SocketAddr, now: Duration) {
     node.exchange.hear_hub(digest, now);
     for alive in &digest.alive {
-        let at = now.saturating_sub(millis(alive.ago_ms));
+        let ago = Duration::from_millis(u64::from(alive.ago_tenths) * 100);
+        let at = now.saturating_sub(ago);
         node.members.hear_alive(alive.name, alive.leaving, at);
     }
     node.endpoints.set_lenient(now, millis(digest.lenient_ms));
-    node.divide_quotas();
     let extents = digest.extents;
     let pairs = [
         (&node.mirrors.operator, extents.operator),
@@ -224,9 +302,14 @@
     let all = pairs
         .iter()
         .fold(true, |all, (mirror, extent)| mirror.agree(*extent) && all);
-    if !all {
-        fetch(node, from);
+    let mut state = node.exchange.state.lock();
+    if all {
+        state.behind_since = None;
+        return;
     }
+    state.behind_since.get_or_insert(now);
+    drop(state);
+    fetch(node, from);
 }
 
 /// Takes in changes; `false` if others are missing.
@@ -285,7 +368,7 @@
     take(node, Feed::Own, deltas.own);
 }
 
-async fn tell<P: Protocol>(node: &Node<P>, socket: &UdpSocket) {
+async fn tell<P: Protocol>(node: &Node<P>) {
     let mut count: u32 = 0;
     loop {
         tokio::time::sleep(DIGEST_INTERVAL).await;
@@ -294,72 +377,52 @@
         }
         let now = clock::now();
         let members = node.members.heard(now);
-        let (own, hubs) = hubs(node, &members);
+        let (own, hubs) = hubs(node, members);
         node.set_hub(own);
-        if count.is_multiple_of(DIGESTS_PER_BEAT) {
-            beat(node, socket, &hubs, now).await;
+        let is_full = count.is_multiple_of(DIGESTS_PER_BEAT);
+        if is_full {
+            beat(node, &hubs, now).await;
         }
         count = count.wrapping_add(1);
         if own.is_some() {
-            let digest = Message::Digest(digest(node, now));
-            send_all(node, socket, &digest).await;
+            send_all(node, &Message::Digest(digest(node, now, is_full))).await;
         }
     }
 }
 
 /// Tells the hubs at once that this instance is stopping.
-pub async fn tell_leaving<P: Protocol>(node: &Node<P>, socket: &UdpSocket) {
+pub async fn tell_leaving<P: Protocol>(node: &Node<P>) {
     let now = clock::now();
-    let (_, hubs) = hubs(node, &node.members.heard(now));
-    beat(node, socket, &hubs, now).await;
+    let (_, hubs) = hubs(node, node.members.heard(now));
+    beat(node, &hubs, now).await;
 }
 
-async fn beat<P: Protocol>(node: &Node<P>, socket: &UdpSocket, hubs: &[SocketAddr], now: Duration) {
+async fn beat<P: Protocol>(node: &Node<P>, hubs: &[SocketAddr], now: Duration) {
     let beat = Beat {
         name: node.config.name.clone(),
         leaving: node.is_stopping(),
-        demand: node.quotas.publish(now),
     };
     node.members
-        .hear_alive(xxh3_64(beat.name.as_bytes()), beat.leaving, now);
+        .hear_alive(name_hash(&beat.name), beat.leaving, now);
     node.exchange.hear_beat(beat.clone(), now);
     let message = Message::Beat(beat);
-    let Some(bytes) = message.encode() else {
-        return;
-    };
     for hub in hubs {
         if *hub != node.config.listen.exchange {
-            send(socket, &bytes, *hub).await;
+            send(node, &message, *hub).await;
         }
     }
 }
 
-fn digest<P: Protocol>(node: &Node<P>, now: Duration) -> Digest {
+fn digest<P: Protocol>(node: &Node<P>, now: Duration, is_full: bool) -> Digest {
     let state = node.exchange.state.lock();
     let view_age = state
         .table_at
         .map_or(Duration::MAX, |at| now.saturating_sub(at));
-    let counted = node.members.others(&node.config.name, now);
-    let is_counted =
-        |name: &str| name == node.config.name || counted.iter().any(|member| *member.name == *name);
-    let mut demand: Vec<(String, f32)> = Vec::new();
-    let mut alive = Vec::with_capacity(state.seen.len());
-    for seen in &state.seen {
-        if !is_counted(&seen.beat.name) {
-            continue;
-        }
-        alive.push(Alive {
-            name: xxh3_64(seen.beat.name.as_bytes()),
-            leaving: seen.beat.leaving,
-            ago_ms: whole_millis(now.saturating_sub(seen.at)),
-        });
-        for (workspace, rate) in &seen.beat.demand {
-            match demand.binary_search_by(|(name, _)| name.cmp(workspace)) {
-                Ok(index) => demand[index].1 += rate,
-                Err(index) => demand.insert(index, (workspace.clone(), *rate)),
-            }
-        }
-    }
+    let seen = state.seen.iter().filter(|_| is_full).map(|seen| Alive {
+        name: name_hash(&seen.beat.name),
+        leaving: seen.beat.leaving,
+        ago_tenths: tenths(now.saturating_sub(seen.at)),
+    });
     Digest {
         hub: node.config.name.clone(),
         view_age_ms: whole_millis(view_age),
@@ -369,14 +432,18 @@
             endpoints: node.mirrors.endpoints.extent(),
             own: node.mirrors.own.extent(),
         },
-        alive,
-        demand,
+        // Long silence says no more than that the instance is gone.
+        alive: seen.filter(|alive| alive.ago_tenths < u8::MAX).collect(),
     }
 }
 
+fn tenths(time: Duration) -> u8 {
+    u8::try_from(time.as_millis() / 100).unwrap_or(u8::MAX)
+}
+
 /// Passes changes on, if this instance is the first of the hubs. The others only tell in their
 /// digests how far they have come.
-pub async fn push<P: Protocol>(node: &Node<P>, socket: &UdpSocket, feed: Feed, base: u64) {
+pub async fn push<P: Protocol>(node: &Node<P>, feed: Feed, base: u64) {
     if node.hub() != Some(0) {
         return;
     }
@@ -385,20 +452,26 @@
         feed,
         delta: mirror(node, feed).since(base),
     });
-    send_all(node, socket, &push).await;
+    send_all(node, &push).await;
 }
 
-async fn send_all<P: Protocol>(node: &Node<P>, socket: &UdpSocket, message: &Message) {
+async fn send_all<P: Protocol>(node: &Node<P>, message: &Message) {
     let Some(bytes) = message.encode() else {
         return;
     };
     for member in node.members.others(&node.config.name, clock::now()) {
-        send(socket, &bytes, member.row.exchange).await;
+        send_bytes(node, &bytes, member.row.exchange).await;
+    }
+}
+
+async fn send<P: Protocol>(node: &Node<P>, message: &Message, to: SocketAddr) {
+    if let Some(bytes) = message.encode() {
+        send_bytes(node, &bytes, to).await;
     }
 }
 
-async fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
-    if let Err(error) = socket.send_to(bytes, to).await {
+async fn send_bytes<P: Protocol>(node: &Node<P>, bytes: &[u8], to: SocketAddr) {
+    if let Err(error) = node.exchange.socket.send_to(bytes, to).await {
         emit!(debug, event::PEER_FAULT, peer = %to, reason = %error);
     }
 }
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -9,7 +9,10 @@
     time::Duration, //
 };
 
-use parking_lot::RwLock;
+use parking_lot::{
+    Mutex,
+    RwLock, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -36,6 +39,8 @@
     pub exchange: SocketAddr,
     /// Failure domain.
     pub domain: String,
+    /// Bandwidth of its link, in megabits a second.
+    pub link_mbps: u32,
     /// Whether it is stopping.
     pub leaving: bool,
     /// Chosen anew at each start, so that the row of each life differs.
@@ -50,7 +55,7 @@
     /// What it tells of itself.
     pub row: Arc<Row>,
     /// Hash of the name.
-    hash: u64,
+    hash: u32,
     /// Whether it told by datagram that it is stopping.
     leaving: bool,
     /// When it was last heard of, by this instance's clock.
@@ -71,6 +76,8 @@
     ///
     /// Sorted by name.
     members: RwLock<Vec<Member>>,
+    /// The live instances as they were last looked at, and since when they have been these.
+    stable: Mutex<(u64, Duration)>,
 }
 
 impl Table {
@@ -92,7 +99,7 @@
                 Member {
                     name: name.into(),
                     row: Arc::new(row),
-                    hash: xxh3_64(name.as_bytes()),
+                    hash: name_hash(name),
                     leaving: false,
                     seen: now,
                 },
@@ -102,7 +109,7 @@
     }
 
     /// Notes when an instance was heard of, by the hash of its name.
-    pub fn hear_alive(&self, hash: u64, leaving: bool, at: Duration) {
+    pub fn hear_alive(&self, hash: u32, leaving: bool, at: Duration) {
         let mut members = self.members.write();
         if let Some(member) = members.iter_mut().find(|member| member.hash == hash)
             && at >= member.seen
@@ -136,6 +143,27 @@
         live(&members, reference)
     }
 
+    /// Looks at the instances that were heard of lately, in order of their names.
+    pub fn with_heard<T>(&self, now: Duration, look: impl FnOnce(&[&Member]) -> T) -> T {
+        let members = self.members.read();
+        let live = members.iter().filter(|member| is_live(member, now));
+        look(&live.collect::<Vec<_>>())
+    }
+
+    /// Since when the same instances have been live.
+    pub fn stable_since(&self, now: Duration) -> Duration {
+        let digest = self.with_heard(now, |members| {
+            members.iter().fold(0_u64, |digest, member| {
+                digest.rotate_left(1) ^ xxh3_64(member.name.as_bytes()) ^ member.row.life
+            })
+        });
+        let mut stable = self.stable.lock();
+        if stable.0 != digest {
+            *stable = (digest, now);
+        }
+        stable.1
+    }
+
     /// Instances that were heard of lately.
     pub fn heard(&self, now: Duration) -> Vec<Member> {
         live(&self.members.read(), now)
@@ -151,9 +179,16 @@
     }
 }
 
+/// Identifies an instance in datagrams.
+pub fn name_hash(name: &str) -> u32 {
+    (xxh3_64(name.as_bytes()) >> 32) as u32
+}
+
 fn live(members: &[Member], now: Duration) -> Vec<Member> {
-    let live = members
-        .iter()
-        .filter(|member| !member.is_leaving() && now.saturating_sub(member.seen) <= NAMED_HORIZON);
+    let live = members.iter().filter(|member| is_live(member, now));
     live.cloned().collect()
 }
+
+fn is_live(member: &Member, now: Duration) -> bool {
+    !member.is_leaving() && now.saturating_sub(member.seen) <= NAMED_HORIZON
+}
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -31,6 +31,38 @@
     Digest(Digest),
     /// A hub passes on changes.
     Push(Push),
+    /// An instance asks the owner of a limit.
+    Ask(Ask),
+    /// The owner's answer.
+    Grant(Grant),
+}
+
+/// An instance asks the owner of a workspace's limit for units.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Ask {
+    /// Identifies the question.
+    pub id: u32,
+    /// Name of the workspace.
+    pub workspace: String,
+    /// Units that a request needs.
+    pub units: f32,
+    /// Units that are wanted for requests to come.
+    pub ahead: f32,
+    /// Whether the request is of the most urgent class.
+    pub urgent: bool,
+}
+
+/// The owner's answer.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Grant {
+    /// Identifies the question.
+    pub id: u32,
+    /// Units granted beyond those needed.
+    pub ahead: f32,
+    /// When to come back, in milliseconds, if the units needed are not granted.
+    pub wait_ms: Option<u32>,
 }
 
 /// An instance tells a hub that it lives.
@@ -41,8 +73,6 @@
     pub name: String,
     /// Whether it is stopping.
     pub leaving: bool,
-    /// Units a second that its callers ask for, by workspace.
-    pub demand: Vec<(String, f32)>,
 }
 
 /// An instance as a hub knows it.
@@ -50,11 +80,11 @@
 #[derive(Deserialize, Serialize)]
 pub struct Alive {
     /// Hash of its name.
-    pub name: u64,
+    pub name: u32,
     /// Whether it is stopping.
     pub leaving: bool,
-    /// Time since it was heard, in milliseconds.
-    pub ago_ms: u32,
+    /// Time since it was heard, in tenths of a second.
+    pub ago_tenths: u8,
 }
 
 /// What a hub tells all others.
@@ -69,10 +99,8 @@
     pub lenient_ms: u32,
     /// How far its copies of the rows go.
     pub extents: Extents,
-    /// Instances that it has heard.
+    /// Instances that it has heard; in one of a few digests only.
     pub alive: Vec<Alive>,
-    /// Units a second that all callers ask for, by workspace.
-    pub demand: Vec<(String, f32)>,
 }
 
 /// How far an instance's copies of the rows go.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -145,14 +145,13 @@
 const NO_HUB: usize = usize::MAX;
 
 impl<P: Protocol> Node<P> {
-    /// Puts together a node that has yet to hear of any configuration.
+    /// Puts together a node that has yet to hear of any configuration; needs a runtime.
     ///
     /// # Errors
     ///
-    /// If metrics cannot be set up.
+    /// If datagrams cannot be listened for, or metrics cannot be set up.
     pub fn new(config: Config) -> anyhow::Result<Self> {
         Ok(Self {
-            config,
             life: rand::random(),
             mirrors: Mirrors::default(),
             catalog: ArcSwapOption::empty(),
@@ -162,7 +161,7 @@
             pool: Arc::new(Pool::new(P::id_header())),
             beliefs: belief::Table::new(MAX_BELIEFS),
             health: health::Table::default(),
-            exchange: Exchange::default(),
+            exchange: Exchange::bind(config.listen.exchange)?,
             peers: Client::new(peer::ANSWER_TIMEOUT),
             quotas: Arc::default(),
             lease: Lease::default(),
@@ -172,6 +171,7 @@
             hub: AtomicUsize::new(NO_HUB),
             stopping: AtomicBool::new(false),
             protocol: PhantomData,
+            config,
         })
     }
 
@@ -293,11 +293,6 @@
         }
     }
 
-    /// Works out anew what this instance may spend of each workspace's limit.
-    pub fn divide_quotas(&self) {
-        self.quotas.divide(&self.exchange.demand(), self.sharers());
-    }
-
     fn hear_instance(&self, change: &Change) {
         let Some(name) = change.key.strip_prefix(crate::INSTANCES) else {
             return;
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -84,7 +84,7 @@
         mirrors.own.revision(),
     );
     let answer = client.call(Method::GET, address, &path, Bytes::new());
-    Ok(serde_json::from_slice(&answer.await?.body)?)
+    Ok(postcard::from_bytes(&answer.await?.body)?)
 }
 
 /// What the asking instance lacks; `None` if the path is not that of such a question.
@@ -97,6 +97,8 @@
         endpoints: node.mirrors.endpoints.since(next()?),
         own: node.mirrors.own.since(next()?),
     };
-    // Texts and numbers always encode.
-    Some(Bytes::from(serde_json::to_vec(&deltas).unwrap_or_default()))
+    // Fails only if it is too large for memory.
+    Some(Bytes::from(
+        postcard::to_stdvec(&deltas).unwrap_or_default(),
+    ))
 }
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -226,7 +226,7 @@
             return json(self.0.state().encode());
         }
         match peer::answer_changes(&self.0, path) {
-            Some(changes) => json(changes),
+            Some(changes) => Response::new(Body::whole(changes)),
             None => status(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -1,36 +1,72 @@
-//! What this instance may spend of each workspace's limit.
+//! What workspaces may spend, over all instances together.
+//!
+//! Each workspace's limit is owned by one instance, the first in the order that
+//! rendezvous hashing gives. The others ask it for what a request needs, by a
+//! datagram and its answer; small requests are covered by what was granted
+//! ahead. While an owner gives no answer, an instance spends an even part of
+//! the limit.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
 use parking_lot::Mutex;
-use policy::share::{
-    self,
-    Bucket,
-    Demand,
-    Tolerance, //
+use policy::{
+    rank::{
+        self,
+        Candidate, //
+    },
+    share::{
+        Bucket,
+        Share,
+        Tolerance, //
+    }, //
 };
+use state::clock;
 
-use crate::catalog::Workspace;
+use crate::{
+    catalog::{
+        Limit,
+        Workspace, //
+    },
+    exchange,
+    message::{
+        Ask,
+        Grant, //
+    },
+    node::Node,
+    protocol::Protocol, //
+};
 
-/// Part of its share that an instance starts with: it may have spent the rest before a restart.
-const START_PART: f64 = 0.5;
+/// Longest time for the answer of an owner: many round trips within a region.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time for which an owner that gave no answer is not asked again.
+const SILENT_PAUSE: Duration = Duration::from_millis(700);
+/// Time after which what was granted ahead is dropped: it may have been granted anew meanwhile.
+const CREDIT_TIME: Duration = Duration::from_secs(3);
+/// Requests of the same size that are asked for ahead.
+const REQUESTS_AHEAD: f64 = 3.0;
+/// Largest request for which more is asked ahead, in units.
+const MAX_SMALL: f64 = 2_000.0;
 
+/// What is known of one workspace.
 #[derive(Debug)]
 struct Entry {
     workspace: Arc<str>,
-    demand: Demand,
-    /// What was last published of the demand.
-    published: f64,
-    /// Part of the limit that this instance has.
-    fraction: f64,
-    bucket: Option<Bucket>,
+    /// Units that were granted to this instance and not spent yet.
+    credit: f64,
+    credit_until: Duration,
+    /// What the workspace may spend, if this instance owns its limit.
+    owned: Option<Bucket>,
+    /// What this instance may spend while the owner is silent.
+    alone: Bucket,
+    silent_until: Duration,
 }
 
-/// What this instance may spend, by workspace.
-#[derive(Debug)]
+/// What workspaces may spend.
+#[derive(Debug, Default)]
 pub struct Table {
     /// # Invariants
     ///
@@ -57,101 +93,215 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         if !self.spent {
-            self.table.give_back(&self.workspace, self.units);
+            let now = clock::now();
+            self.table.add_credit(&self.workspace, self.units, now);
         }
     }
 }
 
-impl Default for Table {
-    fn default() -> Self {
-        Self {
-            entries: Mutex::new(Vec::new()),
-        }
+impl Table {
+    /// Spends what was granted before, if that is enough.
+    fn spend_credit(&self, workspace: &Arc<str>, units: f64, now: Duration) -> bool {
+        self.with(workspace, now, |entry| {
+            if entry.credit_until < now {
+                entry.credit = 0.0;
+            }
+            let enough = entry.credit >= units;
+            if enough {
+                entry.credit -= units;
+            }
+            enough
+        })
     }
-}
 
-impl Table {
-    /// Takes `units` of what `workspace` may spend here.
-    ///
-    /// # Errors
-    ///
-    /// The time after which to come back, if the share is used up.
-    pub fn charge(
-        self: &Arc<Self>,
-        workspace: &Workspace,
-        units: u64,
-        tolerance: Tolerance,
-        instances: usize,
+    fn add_credit(&self, workspace: &Arc<str>, units: f64, now: Duration) {
+        self.with(workspace, now, |entry| {
+            if entry.credit_until < now {
+                entry.credit = 0.0;
+            }
+            entry.credit += units;
+            entry.credit_until = now + CREDIT_TIME;
+        });
+    }
+
+    /// Takes units of a limit that this instance owns: those needed, and some ahead.
+    fn take_owned(
+        &self,
+        workspace: &Arc<str>,
+        share: Share,
+        ask: &Ask,
+        since: Duration,
         now: Duration,
-    ) -> Result<Option<Charge>, Duration> {
-        let Some(limit) = workspace.limit else {
-            return Ok(None);
-        };
-        let units = units as f64;
-        let mut entries = self.entries.lock();
-        let entry = entry(&mut entries, &workspace.name, instances);
-        entry.demand.add(now, units);
-        let (rate, burst) = (limit.rate as f64, limit.burst as f64);
-        let share = share::share(rate, burst, tolerance, entry.fraction, instances);
-        let new = || Bucket::new(now, share, START_PART);
-        entry
-            .bucket
-            .get_or_insert_with(new)
-            .take(now, share, units)?;
-        Ok(Some(Charge {
-            table: self.clone(),
-            workspace: workspace.name.clone(),
-            units,
-            spent: false,
-        }))
+    ) -> Result<f64, Duration> {
+        self.with(workspace, now, |entry| {
+            // What an owner before gave out is not known.
+            let bucket = entry.owned.get_or_insert_with(|| Bucket::new(since));
+            bucket.take(now, share, f64::from(ask.units), ask.urgent)?;
+            Ok(bucket.take_ahead(share, f64::from(ask.ahead)))
+        })
+    }
+
+    /// Takes units of this instance's own part of a limit whose owner is silent.
+    fn take_alone(
+        &self,
+        workspace: &Arc<str>,
+        share: Share,
+        ask: &Ask,
+        now: Duration,
+    ) -> Result<(), Duration> {
+        self.with(workspace, now, |entry| {
+            let units = f64::from(ask.units);
+            entry.alone.take(now, share, units, ask.urgent)
+        })
     }
 
-    /// Demand by workspace, to be published; the shares count what was published last.
-    pub fn publish(&self, now: Duration) -> Vec<(String, f32)> {
+    fn with<T>(
+        &self,
+        workspace: &Arc<str>,
+        now: Duration,
+        change: impl FnOnce(&mut Entry) -> T,
+    ) -> T {
         let mut entries = self.entries.lock();
-        let publish = |entry: &mut Entry| {
-            entry.published = entry.demand.rate(now).round();
-            (entry.workspace.to_string(), entry.published as f32)
+        let index = match entries.binary_search_by(|entry| entry.workspace.cmp(workspace)) {
+            Ok(index) => index,
+            Err(index) => {
+                let entry = Entry {
+                    workspace: workspace.clone(),
+                    credit: 0.0,
+                    credit_until: now,
+                    owned: None,
+                    alone: Bucket::new(now),
+                    silent_until: Duration::ZERO,
+                };
+                entries.insert(index, entry);
+                index
+            }
         };
-        entries.iter_mut().map(publish).collect()
+        change(&mut entries[index])
+    }
+}
+
+/// Takes `units` of what `workspace` may spend.
+///
+/// # Errors
+///
+/// The time after which to come back, if the limit is used up.
+pub async fn charge<P: Protocol>(
+    node: &Node<P>,
+    workspace: &Workspace,
+    units: u64,
+    urgent: bool,
+) -> Result<Option<Charge>, Duration> {
+    let Some(limit) = workspace.limit else {
+        return Ok(None);
+    };
+    let name = &workspace.name;
+    let charge = || Charge {
+        table: node.quotas.clone(),
+        workspace: name.clone(),
+        units: units as f64,
+        spent: false,
+    };
+    let now = clock::now();
+    if node.quotas.spend_credit(name, units as f64, now) {
+        return Ok(Some(charge()));
     }
+    let small = units as f64 <= MAX_SMALL;
+    let ask = Ask {
+        id: 0,
+        workspace: name.to_string(),
+        units: units as f32,
+        ahead: if small {
+            (units as f64 * REQUESTS_AHEAD) as f32
+        } else {
+            0.0
+        },
+        urgent,
+    };
+    let ahead = take(node, name, limit, ask, now).await?;
+    if ahead > 0.0 {
+        node.quotas.add_credit(name, ahead, clock::now());
+    }
+    Ok(Some(charge()))
+}
 
-    /// Works the shares out anew from the demand at all `instances` together.
-    pub fn divide(&self, total: &[(String, f32)], instances: usize) {
-        let mut entries = self.entries.lock();
-        for entry in entries.iter_mut() {
-            let place = total.binary_search_by(|(name, _)| (**name).cmp(&entry.workspace));
-            let all = place.map_or(0.0, |index| f64::from(total[index].1));
-            let others = (all - entry.published).max(0.0);
-            entry.fraction = share::fraction(entry.published, others, instances);
+async fn take<P: Protocol>(
+    node: &Node<P>,
+    workspace: &Arc<str>,
+    limit: Limit,
+    ask: Ask,
+    now: Duration,
+) -> Result<f64, Duration> {
+    let Some(owner) = owner(node, workspace, now) else {
+        let share = whole(node, limit);
+        let since = node.members.stable_since(now);
+        return node.quotas.take_owned(workspace, share, &ask, since, now);
+    };
+    let silent = node.quotas.with(workspace, now, |entry| entry.silent_until);
+    if silent <= now {
+        let answer = exchange::ask(node, owner, ask.clone());
+        if let Ok(Some(grant)) = tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+            return granted(&grant);
         }
+        let pause = clock::now() + SILENT_PAUSE;
+        node.quotas
+            .with(workspace, now, |entry| entry.silent_until = pause);
     }
+    let (rate, burst) = (limit.rate as f64, limit.burst as f64);
+    let share = Share::even(rate, burst, node.sharers());
+    let taken = node.quotas.take_alone(workspace, share, &ask, clock::now());
+    taken.map(|()| 0.0)
+}
 
-    fn give_back(&self, workspace: &str, units: f64) {
-        let mut entries = self.entries.lock();
-        let place = entries.binary_search_by(|entry| (*entry.workspace).cmp(workspace));
-        if let Ok(index) = place
-            && let Some(bucket) = &mut entries[index].bucket
-        {
-            bucket.give_back(units);
-        }
+fn granted(grant: &Grant) -> Result<f64, Duration> {
+    match grant.wait_ms {
+        None => Ok(f64::from(grant.ahead)),
+        Some(wait) => Err(Duration::from_millis(u64::from(wait))),
     }
 }
 
-fn entry<'a>(entries: &'a mut Vec<Entry>, workspace: &Arc<str>, instances: usize) -> &'a mut Entry {
-    let index = match entries.binary_search_by(|entry| entry.workspace.cmp(workspace)) {
-        Ok(index) => index,
-        Err(index) => {
-            let entry = Entry {
-                workspace: workspace.clone(),
-                demand: Demand::default(),
-                published: 0.0,
-                fraction: 1.0 / instances.max(1) as f64,
-                bucket: None,
-            };
-            entries.insert(index, entry);
-            index
-        }
+/// Answers an instance that asks for units of a limit that this one owns.
+pub fn grant<P: Protocol>(node: &Node<P>, ask: &Ask) -> Option<Grant> {
+    let catalog = node.catalog.load_full()?;
+    let workspace = catalog
+        .workspaces()
+        .find(|workspace| *workspace.name == *ask.workspace)?;
+    let share = whole(node, workspace.limit?);
+    let now = clock::now();
+    let since = node.members.stable_since(now);
+    let taken = node.quotas.take_owned(&workspace.name, share, ask, since, now);
+    Some(Grant {
+        id: ask.id,
+        ahead: taken.map_or(0.0, |ahead| ahead as f32),
+        wait_ms: taken
+            .err()
+            .map(|wait| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)),
+    })
+}
+
+fn whole<P: Protocol>(node: &Node<P>, limit: Limit) -> Share {
+    let bounds = &node.config.bounds;
+    let tolerance = Tolerance {
+        window: bounds.quota_window.as_secs_f64(),
+        over: bounds.quota_over,
+        slack: bounds.quota_slack,
     };
-    &mut entries[index]
+    Share::whole(limit.rate as f64, limit.burst as f64, tolerance)
+}
+
+/// The instance that owns the limit of `workspace`; `None` if this one does.
+fn owner<P: Protocol>(node: &Node<P>, workspace: &str, now: Duration) -> Option<SocketAddr> {
+    node.members.with_heard(now, |members| {
+        let candidates: Vec<Candidate<'_>> = members
+            .iter()
+            .map(|member| Candidate {
+                name: &member.name,
+                domain: "",
+                leaving: member.is_leaving(),
+            })
+            .collect();
+        let first = rank::first(workspace, &candidates)?;
+        let owner = members[first];
+        (*owner.name != *node.config.name).then_some(owner.row.exchange)
+    })
 }
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -17,7 +17,6 @@
     emit,
     event, //
 };
-use tokio::net::UdpSocket;
 
 use crate::{
     INSTANCES,
@@ -62,7 +61,7 @@
 }
 
 /// Follows the table until the task is aborted.
-pub async fn run<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W, socket: &UdpSocket) {
+pub async fn run<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W) {
     let operator = Follow {
         feed: Feed::Operator,
         prefix: P::OPERATOR,
@@ -88,15 +87,15 @@
         news: |changes: &[Change]| node.own_changed(changes),
     };
     tokio::join!(
-        follow(&node, &table, socket, operator, |up| {
+        follow(&node, &table, operator, |up| {
             if up {
                 node.endpoints.regained(clock::now());
             } else {
                 node.endpoints.lost();
             }
         }),
-        follow(&node, &table, socket, endpoints, |_| ()),
-        follow(&node, &table, socket, own, |_| ()),
+        follow(&node, &table, endpoints, |_| ()),
+        follow(&node, &table, own, |_| ()),
         write_row(&node, &table),
         expire(&node),
     );
@@ -115,7 +114,6 @@
 async fn follow<P: Protocol, W: Watch, N: Fn(&[Change])>(
     node: &Node<P>,
     table: &W,
-    socket: &UdpSocket,
     follow: Follow<'_, N>,
     up: impl Fn(bool),
 ) {
@@ -149,7 +147,7 @@
                 complete = true;
                 if !news.is_empty() {
                     (follow.news)(&news);
-                    exchange::push(node, socket, follow.feed, base).await;
+                    exchange::push(node, follow.feed, base).await;
                     tokio::time::sleep(follow.pause).await;
                 }
             }
@@ -217,6 +215,7 @@
         peers: listen.peers,
         exchange: listen.exchange,
         domain: node.config.domain.clone(),
+        link_mbps: node.config.link_mbps as u32,
         leaving: node.is_stopping(),
         life: node.life,
     };
