--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -8,6 +8,8 @@
 const TOLERANCE_PART: f64 = 0.5;
 /// Part of what a window may hold that comes evenly; the rest may come at once.
 const EVEN_PART: f64 = 0.7;
+/// Part of the capacity that a new bucket starts with.
+const START_PART: f64 = 0.2;
 /// Part of the capacity below which only the most urgent requests are let in.
 const RESERVE_PART: f64 = 0.15;
 
@@ -75,10 +77,11 @@
 }
 
 impl Bucket {
-    /// A bucket that was empty at `since`: what was spent before is not known.
-    pub fn new(since: Duration) -> Self {
+    /// A bucket that was nearly empty at `since`: what was spent before is not known, but the part
+    /// of the tolerance that is not given out allows for some.
+    pub fn new(since: Duration, share: Share) -> Self {
         Self {
-            level: 0.0,
+            level: share.capacity * START_PART,
             at: since,
         }
     }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -231,7 +231,8 @@
     let now = clock::now();
     match message {
         Message::Beat(beat) => {
-            node.members.hear_alive(name_hash(&beat.name), beat.leaving, now);
+            node.members
+                .hear_alive(name_hash(&beat.name), beat.leaving, now);
             node.exchange.hear_beat(beat, now);
         }
         Message::Digest(digest) => hear_digest(node, &digest, from, now),
@@ -376,6 +377,8 @@
             continue;
         }
         let now = clock::now();
+        // Looked at regularly, so that a change is dated when it happens.
+        node.members.stable_since(now);
         let members = node.members.heard(now);
         let (own, hubs) = hubs(node, members);
         node.set_hub(own);
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -25,6 +25,10 @@
     }, //
 };
 use state::clock;
+use telemetry::{
+    emit,
+    event, //
+};
 
 use crate::{
     catalog::{
@@ -61,7 +65,7 @@
     /// What the workspace may spend, if this instance owns its limit.
     owned: Option<Bucket>,
     /// What this instance may spend while the owner is silent.
-    alone: Bucket,
+    alone: Option<Bucket>,
     silent_until: Duration,
 }
 
@@ -135,7 +139,16 @@
     ) -> Result<f64, Duration> {
         self.with(workspace, now, |entry| {
             // What an owner before gave out is not known.
-            let bucket = entry.owned.get_or_insert_with(|| Bucket::new(since));
+            let bucket = entry.owned.get_or_insert_with(|| {
+                let age_ms = u64::try_from((now - since).as_millis()).unwrap_or(u64::MAX);
+                emit!(
+                    info,
+                    event::LIMIT_OWNED,
+                    workspace = &**workspace,
+                    age_ms = age_ms,
+                );
+                Bucket::new(since, share)
+            });
             bucket.take(now, share, f64::from(ask.units), ask.urgent)?;
             Ok(bucket.take_ahead(share, f64::from(ask.ahead)))
         })
@@ -151,7 +164,8 @@
     ) -> Result<(), Duration> {
         self.with(workspace, now, |entry| {
             let units = f64::from(ask.units);
-            entry.alone.take(now, share, units, ask.urgent)
+            let bucket = entry.alone.get_or_insert_with(|| Bucket::new(now, share));
+            bucket.take(now, share, units, ask.urgent)
         })
     }
 
@@ -170,7 +184,7 @@
                     credit: 0.0,
                     credit_until: now,
                     owned: None,
-                    alone: Bucket::new(now),
+                    alone: None,
                     silent_until: Duration::ZERO,
                 };
                 entries.insert(index, entry);
@@ -243,6 +257,12 @@
         if let Ok(Some(grant)) = tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
             return granted(&grant);
         }
+        emit!(
+            info,
+            event::LIMIT_OWNER_SILENT,
+            workspace = &**workspace,
+            owner = %owner,
+        );
         let pause = clock::now() + SILENT_PAUSE;
         node.quotas
             .with(workspace, now, |entry| entry.silent_until = pause);
@@ -269,7 +289,9 @@
     let share = whole(node, workspace.limit?);
     let now = clock::now();
     let since = node.members.stable_since(now);
-    let taken = node.quotas.take_owned(&workspace.name, share, ask, since, now);
+    let taken = node
+        .quotas
+        .take_owned(&workspace.name, share, ask, since, now);
     Some(Grant {
         id: ask.id,
         ahead: taken.map_or(0.0, |ahead| ahead as f32),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -92,6 +92,10 @@
     RIGHTS_ENDED = 502;
     /// A row of token rights does not read; nobody gets rights from it until it is mended.
     RIGHTS_UNREADABLE = 503;
+    /// The owner of a workspace's limit gave no answer; this instance spends an even part of it.
+    LIMIT_OWNER_SILENT = 504;
+    /// This instance owns a workspace's limit from now on.
+    LIMIT_OWNED = 505;
     /// The lease for control work was not read or renewed.
     LEASE_FAULT = 600;
     /// The copy of the settings in the object store was not read or written.
