--- a/crates/router/src/lease.rs
+++ b/crates/router/src/lease.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Notes when this revision of the row was first seen by other means than [`Keeper::step`].
+    pub fn sight(&mut self, sighting: Sighting) {
+        self.seen = Some(sighting);
+    }
+
     /// Looks at the row and takes or renews the lease if it may.
     ///
     /// # Errors
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -23,9 +23,12 @@
     http::Client,
     table::Change, //
 };
-use policy::repeat::{
-    Allowance,
-    Budget, //
+use policy::{
+    repeat::{
+        Allowance,
+        Budget, //
+    },
+    rights::term::Sighting, //
 };
 use state::{
     belief,
@@ -127,6 +130,8 @@
     pub quotas: Arc<quota::Table>,
     /// The lease for orders to engines.
     pub lease: Lease,
+    /// The row of the lease, as it was first seen in its last revision.
+    pub lease_row: Mutex<Option<Sighting>>,
     /// Wakes the task that gives orders.
     pub rollout: Notify,
     /// Histograms.
@@ -165,6 +170,7 @@
             peers: Client::new(peer::ANSWER_TIMEOUT),
             quotas: Arc::default(),
             lease: Lease::default(),
+            lease_row: Mutex::default(),
             rollout: Notify::new(),
             metrics: Metrics::new()?,
             repeats: Mutex::default(),
@@ -288,6 +294,12 @@
     /// Takes in rows that instances changed.
     pub fn own_changed(&self, changes: &[Change]) {
         for change in changes {
+            if change.key == crate::LEASE {
+                *self.lease_row.lock() = Some(Sighting {
+                    revision: change.revision,
+                    since: clock::now(),
+                });
+            }
             rollout::hear(self, change);
             self.hear_instance(change);
         }
--- a/crates/router/src/rollout.rs
+++ b/crates/router/src/rollout.rs
@@ -270,9 +270,11 @@
     /// Takes or renews the lease when it is due.
     async fn hold_lease(&mut self, since: Instant) -> bool {
         let held = self.node.lease.check(order::LIFE).is_some();
-        let due = match self.renewed {
-            Some(at) if held => at.elapsed() >= self.node.config.bounds.lease / RENEWALS,
-            _ => since.elapsed() >= self.turn(),
+        let tried = self.renewed.map_or(Duration::MAX, |at| at.elapsed());
+        let due = if held {
+            tried >= self.node.config.bounds.lease / RENEWALS
+        } else {
+            tried >= TURN && since.elapsed() >= self.turn() && self.is_free()
         };
         if due {
             self.renewed = Some(Instant::now());
@@ -283,6 +285,15 @@
         self.node.lease.check(order::LIFE).is_some()
     }
 
+    /// Whether the lease's row, as hubs tell it, stood unchanged for so long that it has ended.
+    fn is_free(&mut self) -> bool {
+        let Some(sighting) = *self.node.lease_row.lock() else {
+            return true;
+        };
+        self.keeper.sight(sighting);
+        sighting.has_ended(self.node.config.bounds.lease, clock::now())
+    }
+
     /// How long to leave the lease to instances that come first in order of their names.
     fn turn(&self) -> Duration {
         let named = self.node.members.heard(clock::now());
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -102,13 +102,19 @@
 }
 
 /// Waits while hubs pass on what changes, unless this instance is one of them.
-async fn uncovered<P: Protocol>(node: &Node<P>) {
-    while node.hub().is_none() && node.exchange.is_covered(clock::now()) {
+async fn uncovered<P: Protocol>(node: &Node<P>, prefix: &str) {
+    let is_left = || node.hub().is_none() && node.exchange.is_covered(clock::now());
+    if !is_left() {
+        return;
+    }
+    emit!(info, event::HUBS_HEARD, prefix = prefix);
+    while is_left() {
         tokio::select! {
             () = node.exchange.uncovered.notified() => {}
             () = tokio::time::sleep(COVER_INTERVAL) => {}
         }
     }
+    emit!(info, event::HUBS_SILENT, prefix = prefix, hub = node.hub());
 }
 
 async fn follow<P: Protocol, W: Watch, N: Fn(&[Change])>(
@@ -121,7 +127,7 @@
     let mut failures = 0_u32;
     loop {
         if complete {
-            uncovered(node).await;
+            uncovered(node, follow.prefix).await;
         }
         let base = follow.mirror.revision();
         let result = if complete {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -60,6 +60,10 @@
     WEIGHTS_WANTED = 210;
     /// The settings file has changed; the change is in force after the next start.
     SETTINGS_FILE_CHANGED = 211;
+    /// No hub with a fresh view was heard; this instance reads the table itself until one is.
+    HUBS_SILENT = 212;
+    /// A hub with a fresh view was heard; the table is left to it.
+    HUBS_HEARD = 213;
     /// The instance list gave no answer; the last known members stay.
     INSTANCES_FAULT = 300;
     /// A peer could not be reached or closed the connection.
