Date versions of weights by the table's clock, release the lease at a planned stop

The instance that first hears of a version writes when, by the table's clock. Ruled out: order of loads.

--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -40,6 +40,8 @@
     pub revision: u64,
     /// The rows.
     pub rows: Vec<Row>,
+    /// The table's steady clock, where it tells it.
+    pub clock: Option<Duration>,
 }
 
 /// A condition: the row was last changed at `revision`; 0 means that it does not exist.
@@ -156,6 +158,8 @@
     pub revision: u64,
     /// The changes; empty if there were none in time.
     pub rows: Vec<Change>,
+    /// The table's steady clock, where it tells it.
+    pub clock: Option<Duration>,
 }
 
 /// Why no changes were read.
--- a/crates/platform/src/table/message.rs
+++ b/crates/platform/src/table/message.rs
@@ -187,6 +187,7 @@
         Self {
             revision: answer.header.revision,
             rows: answer.kvs.into_iter().map(Row::from).collect(),
+            clock: None,
         }
     }
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -131,6 +131,7 @@
         let limit = self.node.config.bounds.stop.mul_f64(DRAIN_PART);
         emit!(info, event::STOPPING, instance = self.node.config.name);
         self.node.stop();
+        self.node.rollout.notify_one();
         let drained = async {
             exchange::tell_leaving(&self.node).await;
             sync::tell(&self.node, table).await;
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -96,6 +96,8 @@
     seen: Vec<Seen>,
     /// When the table last answered this instance.
     table_at: Option<Duration>,
+    /// What the table's clock said, and when by this instance's clock.
+    table_clock: Option<(Duration, Duration)>,
     /// Whether a fetch from a hub is under way.
     fetching: bool,
     /// Since when changes that a hub has are missing here.
@@ -150,9 +152,25 @@
         hub::covers(&heard.collect::<Vec<_>>())
     }
 
-    /// Notes that the table has answered this instance.
-    pub fn table_answered(&self, now: Duration) {
-        self.state.lock().table_at = Some(now);
+    /// Notes that the table has answered this instance, with what its clock said.
+    pub fn table_answered(&self, now: Duration, clock: Option<Duration>) {
+        let mut state = self.state.lock();
+        state.table_at = Some(now);
+        if let Some(clock) = clock {
+            state.table_clock = Some((clock, now));
+        }
+    }
+
+    /// The time by this instance's clock at which the table's clock said `time`.
+    pub fn local_time(&self, time: Duration) -> Option<Duration> {
+        let (clock, at) = self.state.lock().table_clock?;
+        Some((at + time).saturating_sub(clock))
+    }
+
+    /// The time by the table's clock.
+    pub fn table_time(&self, now: Duration) -> Option<Duration> {
+        let (clock, at) = self.state.lock().table_clock?;
+        Some((clock + now).saturating_sub(at))
     }
 
     fn hear_hub(&self, digest: &Digest, now: Duration) {
@@ -165,6 +183,9 @@
             at: now,
             view_age: Duration::from_millis(u64::from(digest.view_age_ms)),
         });
+        if let Some(clock) = digest.table_ms {
+            state.table_clock = Some((Duration::from_millis(clock), now));
+        }
     }
 
     fn hear_beat(&self, beat: Beat, now: Duration) {
@@ -379,6 +400,7 @@
         let now = clock::now();
         // Looked at regularly, so that a change is dated when it happens.
         node.members.stable_since(now);
+        node.date_versions();
         let members = node.members.heard(now);
         let (own, hubs) = hubs(node, members);
         node.set_hub(own);
@@ -417,6 +439,7 @@
 }
 
 fn digest<P: Protocol>(node: &Node<P>, now: Duration, is_full: bool) -> Digest {
+    let table_ms = node.exchange.table_time(now);
     let state = node.exchange.state.lock();
     let view_age = state
         .table_at
@@ -429,6 +452,7 @@
     Digest {
         hub: node.config.name.clone(),
         view_age_ms: whole_millis(view_age),
+        table_ms: table_ms.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
         lenient_ms: whole_millis(node.endpoints.lenient(now)),
         extents: Extents {
             operator: node.mirrors.operator.extent(),
--- a/crates/router/src/lease.rs
+++ b/crates/router/src/lease.rs
@@ -36,10 +36,18 @@
 struct Row {
     holder: String,
     number: u64,
+    /// Whether the holder gives no more orders, so that the lease has ended.
+    #[serde(default)]
+    released: bool,
     /// Chosen anew at each write, to find out after a lost answer whether it was applied.
     write_id: u64,
 }
 
+/// Whether the value of a lease's row says that its holder gives no more orders.
+pub fn is_released(value: &[u8]) -> bool {
+    serde_json::from_slice(value).is_ok_and(|row: Row| row.released)
+}
+
 /// A write whose grant takes effect once the table has it.
 #[derive(Clone, Copy, Debug)]
 struct Write {
@@ -73,6 +81,34 @@
         }
     }
 
+    /// Ends the lease, if it is held, so that the next holder need not wait for the end of the term.
+    ///
+    /// # Errors
+    ///
+    /// If the table gives no answer; the lease then ends with its term.
+    pub async fn release(&mut self, lease: &Lease) -> Result<(), Fault> {
+        let Some(grant) = lease.check(Duration::ZERO) else {
+            return Ok(());
+        };
+        lease.clear();
+        let Some(found) = self.table.get(self.key).await? else {
+            return Ok(());
+        };
+        let row = Row {
+            holder: self.name.clone(),
+            number: grant.number,
+            released: true,
+            write_id: rand::random(),
+        };
+        let held: Option<Row> = serde_json::from_slice(&found.value).ok();
+        if held.is_some_and(|held| held.number == grant.number) {
+            let value = serde_json::to_vec(&row).unwrap_or_default();
+            let txn = Txn::default().when(self.key, found.revision);
+            self.table.transact(txn.put(self.key, value)).await?;
+        }
+        Ok(())
+    }
+
     /// Notes when this revision of the row was first seen by other means than [`Keeper::step`].
     pub fn sight(&mut self, sighting: Sighting) {
         self.seen = Some(sighting);
@@ -95,7 +131,7 @@
         let number = row.as_ref().map_or(found.revision, |row| row.number);
         let own = self
             .last
-            .filter(|last| row.is_some_and(|row| row.write_id == last.id));
+            .filter(|last| row.as_ref().is_some_and(|row| row.write_id == last.id));
         if let Some(last) = own {
             lease.set(last.grant);
             return self
@@ -103,7 +139,8 @@
                 .await;
         }
         lease.clear();
-        if self.has_ended(&found, now) {
+        let released = row.as_ref().is_some_and(|row| row.released);
+        if released || self.has_ended(&found, now) {
             // The holder before gives no order after its term; one may be on its way.
             let quiet_until = now + endpoint::order::LIFE;
             return self
@@ -132,6 +169,7 @@
         let row = Row {
             holder: self.name.clone(),
             number,
+            released: false,
             write_id: rand::random(),
         };
         // The term counts from before the write is sent.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -38,5 +38,8 @@
 pub const INSTANCES: &str = "damask/instance/";
 /// Prefix of the rows that tell how far engines have come with new weights, by model.
 pub const ROLLOUTS: &str = "damask/rollout/";
+/// Prefix of the rows that tell when versions of weights were first heard of, by the table's clock;
+/// model and version follow, each after a slash.
+pub const NAMED: &str = "damask/named/";
 /// Row of the lease for orders to engines.
 pub const LEASE: &str = "damask/lease";
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -95,6 +95,8 @@
     pub hub: String,
     /// Age of its view of the table, in milliseconds.
     pub view_age_ms: u32,
+    /// The time by the table's clock, in milliseconds.
+    pub table_ms: Option<u64>,
     /// For how much longer rows of endpoints that are gone may come back, in milliseconds.
     pub lenient_ms: u32,
     /// How far its copies of the rows go.
--- a/crates/router/src/mirror.rs
+++ b/crates/router/src/mirror.rs
@@ -141,6 +141,7 @@
             return Some(self.replace(Range {
                 revision: delta.extent.revision,
                 rows: rows.collect(),
+                clock: None,
             }));
         };
         if copy.revision < base {
@@ -191,6 +192,13 @@
         self.copy.lock().take_in(changes.rows, changes.revision)
     }
 
+    /// Value of the row with this key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let copy = self.copy.lock();
+        let place = copy.rows.binary_search_by(|kept| (*kept.key).cmp(key));
+        place.ok().map(|index| copy.rows[index].value.clone())
+    }
+
     /// The rows, for another instance.
     pub fn copy(&self) -> Copy {
         self.copy.lock().clone()
@@ -211,6 +219,7 @@
         self.replace(Range {
             revision: other.revision,
             rows: rows.collect(),
+            clock: None,
         })
     }
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -49,6 +49,7 @@
     endpoints::Endpoints,
     exchange::Exchange,
     instance,
+    lease,
     mirror::{
         Mirror,
         State, //
@@ -78,6 +79,8 @@
     ///
     /// Sorted by version; never empty, and the last one is `version`.
     pub named: Vec<(u64, Duration)>,
+    /// Whether the table tells when the newest version was first heard of.
+    pub agreed: bool,
 }
 
 impl Wanted {
@@ -273,18 +276,30 @@
         match known {
             Some(index) => {
                 all[index].version = version;
+                all[index].agreed = false;
                 all[index].named.push((version, now));
             }
             None => all.push(Wanted {
                 model,
                 version,
                 named: vec![(version, now)],
+                agreed: false,
             }),
         }
         self.wanted.store(Arc::new(all));
         self.rollout.notify_one();
     }
 
+    /// Versions of which the table may not tell yet when they were first heard of, with when that
+    /// was here.
+    pub fn undated(&self) -> Vec<(String, u64, Duration)> {
+        self.date_versions();
+        let wanted = self.wanted.load();
+        let undated = wanted.iter().filter(|wanted| !wanted.agreed);
+        let last = |w: &Wanted| Some((w.model.clone(), w.version, w.named.last()?.1));
+        undated.filter_map(last).collect()
+    }
+
     /// Takes in rows that endpoints changed.
     pub fn endpoints_changed(&self, changes: &[Change]) {
         self.endpoints.apply::<P>(changes, clock::now());
@@ -295,9 +310,11 @@
     pub fn own_changed(&self, changes: &[Change]) {
         for change in changes {
             if change.key == crate::LEASE {
+                let released = change.value.as_deref().is_some_and(lease::is_released);
                 *self.lease_row.lock() = Some(Sighting {
                     revision: change.revision,
-                    since: clock::now(),
+                    // A lease that was released has ended long ago.
+                    since: if released { Duration::ZERO } else { clock::now() },
                 });
             }
             rollout::hear(self, change);
@@ -305,6 +322,34 @@
         }
     }
 
+    /// Dates versions of weights by when any instance first heard of them, as the table tells.
+    pub fn date_versions(&self) {
+        let wanted = self.wanted.load();
+        if wanted.iter().all(|wanted| wanted.agreed) {
+            return;
+        }
+        let mut all = Vec::clone(&wanted);
+        for wanted in &mut all {
+            wanted.agreed = self.date(wanted);
+        }
+        self.wanted.store(Arc::new(all));
+    }
+
+    /// Whether the table tells the date of the newest version.
+    fn date(&self, wanted: &mut Wanted) -> bool {
+        let mut dated = false;
+        for (version, since) in &mut wanted.named {
+            let key = format!("{}{}/{version}", crate::NAMED, wanted.model);
+            let value = self.mirrors.own.value(&key);
+            let text = value.as_deref().and_then(|v| std::str::from_utf8(v).ok());
+            let at = text.and_then(|text| text.parse().ok()).map(Duration::from_millis);
+            let local = at.and_then(|at| self.exchange.local_time(at));
+            dated = local.is_some();
+            *since = local.map_or(*since, |local| local.min(*since));
+        }
+        dated
+    }
+
     fn hear_instance(&self, change: &Change) {
         let Some(name) = change.key.strip_prefix(crate::INSTANCES) else {
             return;
--- a/crates/router/src/rollout.rs
+++ b/crates/router/src/rollout.rs
@@ -237,7 +237,13 @@
     }
 
     async fn step(&mut self) {
-        if self.node.is_stopping() || !self.has_work() {
+        if self.node.is_stopping() {
+            if let Err(fault) = self.keeper.release(&self.node.lease).await {
+                emit!(debug, event::LEASE_FAULT, reason = %fault);
+            }
+            return;
+        }
+        if !self.has_work() {
             self.busy_since = None;
             if !self.loading.is_empty() {
                 return;
@@ -529,6 +535,9 @@
     /// cannot arrive any more.
     fn grant(&self) -> Option<Grant> {
         let grant = self.node.lease.check(order::LIFE)?;
+        if self.node.is_stopping() {
+            return None;
+        }
         let quiet = clock::now() >= grant.quiet_until;
         (self.node.config.bounds.engines_check_fences || quiet).then_some(grant)
     }
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     INSTANCES,
+    NAMED,
     OWN,
     exchange,
     instance::Row,
@@ -136,9 +137,9 @@
             list(table, &follow).await
         };
         match result {
-            Ok(news) => {
+            Ok((news, clock)) => {
                 if matches!(follow.feed, Feed::Operator) {
-                    node.exchange.table_answered(clock::now());
+                    node.exchange.table_answered(clock::now(), clock);
                 }
                 if failures > 0 {
                     emit!(
@@ -153,6 +154,9 @@
                 complete = true;
                 if !news.is_empty() {
                     (follow.news)(&news);
+                    if matches!(follow.feed, Feed::Operator) {
+                        date_versions(node, table).await;
+                    }
                     exchange::push(node, follow.feed, base).await;
                     tokio::time::sleep(follow.pause).await;
                 }
@@ -178,15 +182,37 @@
     }
 }
 
-async fn list<W: Watch, N>(table: &W, feed: &Follow<'_, N>) -> Result<Vec<Change>, WatchFault> {
+/// What has changed, with what the table's clock said.
+type News = (Vec<Change>, Option<Duration>);
+
+async fn list<W: Watch, N>(table: &W, feed: &Follow<'_, N>) -> Result<News, WatchFault> {
     let range = table.range(feed.prefix).await?;
-    Ok(feed.mirror.replace(range))
+    let clock = range.clock;
+    Ok((feed.mirror.replace(range), clock))
 }
 
-async fn watch<W: Watch, N>(table: &W, feed: &Follow<'_, N>) -> Result<Vec<Change>, WatchFault> {
+async fn watch<W: Watch, N>(table: &W, feed: &Follow<'_, N>) -> Result<News, WatchFault> {
     let after = feed.mirror.revision();
     let changes = table.changes(feed.prefix, after, feed.wait).await?;
-    Ok(feed.mirror.apply(changes))
+    let clock = changes.clock;
+    Ok((feed.mirror.apply(changes), clock))
+}
+
+/// Writes when versions of weights were first heard of, if no instance has done so.
+async fn date_versions<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
+    for (model, version, since) in node.undated() {
+        let now = clock::now();
+        let Some(table_time) = node.exchange.table_time(now) else {
+            return;
+        };
+        let at = table_time.saturating_sub(now.saturating_sub(since));
+        let key = format!("{NAMED}{model}/{version}");
+        let txn = Txn::default().when(&key, 0);
+        let value = at.as_millis().to_string();
+        if let Err(fault) = table.transact(txn.put(&key, value)).await {
+            emit!(debug, event::TABLE_FAULT, prefix = NAMED, reason = %fault);
+        }
+    }
 }
 
 /// Grows with each failure, and differs between instances.
