--- a/crates/policy/benches/choice.rs
+++ b/crates/policy/benches/choice.rs
@@ -15,6 +15,7 @@
     },
     choice::{
         Candidate,
+        HOME_PRIOR,
         Request,
         Scratch,
         pick, //
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -9,6 +9,7 @@
     breaker::Breaker,
     choice::{
         Candidate,
+        HOME_PRIOR,
         Request,
         Scratch,
         pick, //
--- /dev/null
+++ b/crates/policy/tests/share.rs
@@ -0,0 +1,94 @@
+//! The limit of a workspace: windows, requests larger than a share, urgent requests first.
+
+use std::time::Duration;
+
+use policy::share::{
+    Bucket,
+    Share,
+    Tolerance, //
+};
+use quickcheck::quickcheck;
+
+const WINDOW: f64 = 8.0;
+
+const TOLERANCE: Tolerance = Tolerance {
+    window: WINDOW,
+    over: 0.1,
+    slack: 190_000.0,
+};
+
+quickcheck! {
+    /// Pattern: one workspace sends many times its rate, in requests of very different sizes.
+    fn no_window_holds_more_than_the_limit(steps: Vec<(u16, u32)>, rate: u32) -> bool {
+        let rate = f64::from(rate % 200_000 + 1_000);
+        let share = Share::whole(rate, rate, TOLERANCE);
+        let mut bucket = Bucket::new(Duration::ZERO, share);
+        let mut now = Duration::ZERO;
+        let mut taken: Vec<(Duration, f64)> = Vec::new();
+        let mut largest: f64 = 0.0;
+        for (pause, cost) in steps {
+            now += Duration::from_millis(u64::from(pause % 500));
+            let cost = f64::from(cost % 60_000);
+            largest = largest.max(cost);
+            if bucket.take(now, share, cost, true).is_ok() {
+                taken.push((now, cost));
+            }
+        }
+        let limit = (rate * WINDOW + rate) * 1.1 + TOLERANCE.slack;
+        taken.iter().all(|(from, _)| {
+            let within = taken.iter().filter(|(at, _)| {
+                at >= from && (*at - *from).as_secs_f64() < WINDOW
+            });
+            // The last request may overspend.
+            within.map(|(_, cost)| cost).sum::<f64>() <= limit + largest
+        })
+    }
+}
+
+#[test]
+fn a_steady_rate_is_never_refused() {
+    let share = Share::whole(10_000.0, 10_000.0, TOLERANCE);
+    let mut bucket = Bucket::new(Duration::ZERO, share);
+    for step in 1..1_000_u64 {
+        let now = Duration::from_millis(step * 100);
+        assert_eq!(bucket.take(now, share, 1_000.0, false), Ok(()));
+    }
+}
+
+#[test]
+fn a_request_larger_than_the_capacity_gets_its_turn() {
+    let share = Share::even(10_000.0, 10_000.0, 50);
+    let mut bucket = Bucket::new(Duration::ZERO, share);
+    let now = Duration::from_secs(5);
+    assert_eq!(bucket.take(now, share, 17_000.0, true), Ok(()));
+    // What was overspent is paid back first.
+    let wait = bucket.take(now, share, 1.0, true).unwrap_err();
+    assert!(wait > Duration::from_secs(60), "{wait:?}");
+    assert_eq!(bucket.take(now + wait, share, 1.0, true), Ok(()));
+}
+
+#[test]
+fn urgent_requests_use_what_is_held_back() {
+    let share = Share {
+        rate: 1.0,
+        capacity: 100.0,
+    };
+    let mut bucket = Bucket::new(Duration::ZERO, share);
+    let full = Duration::from_secs(1_000);
+    assert_eq!(bucket.take(full, share, 90.0, false), Ok(()));
+    assert!(bucket.take(full, share, 1.0, false).is_err());
+    assert_eq!(bucket.take(full, share, 1.0, true), Ok(()));
+}
+
+#[test]
+fn nothing_is_granted_ahead_once_half_is_used() {
+    let share = Share {
+        rate: 1.0,
+        capacity: 100.0,
+    };
+    let mut bucket = Bucket::new(Duration::ZERO, share);
+    let full = Duration::from_secs(1_000);
+    bucket.take(full, share, 40.0, true).unwrap();
+    assert_eq!(bucket.take_ahead(share, 50.0), 10.0);
+    assert_eq!(bucket.take_ahead(share, 50.0), 0.0);
+}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -314,7 +314,11 @@
                 *self.lease_row.lock() = Some(Sighting {
                     revision: change.revision,
                     // A lease that was released has ended long ago.
-                    since: if released { Duration::ZERO } else { clock::now() },
+                    since: if released {
+                        Duration::ZERO
+                    } else {
+                        clock::now()
+                    },
                 });
             }
             rollout::hear(self, change);
@@ -342,7 +346,9 @@
             let key = format!("{}{}/{version}", crate::NAMED, wanted.model);
             let value = self.mirrors.own.value(&key);
             let text = value.as_deref().and_then(|v| std::str::from_utf8(v).ok());
-            let at = text.and_then(|text| text.parse().ok()).map(Duration::from_millis);
+            let at = text
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_millis);
             let local = at.and_then(|at| self.exchange.local_time(at));
             dated = local.is_some();
             *since = local.map_or(*since, |local| local.min(*since));
--- /dev/null
+++ b/crates/router/tests/mirror.rs
@@ -0,0 +1,113 @@
+//! Copies of the table's rows: they only move forward, whoever passes the changes on.
+
+use platform::table::{
+    Change,
+    Changes,
+    Range,
+    Row, //
+};
+use quickcheck::quickcheck;
+use router::mirror::Mirror;
+
+fn change(key: u8, value: Option<u8>, revision: u64) -> Change {
+    Change {
+        key: format!("k{}", key % 5),
+        value: value.map(|value| vec![value]),
+        revision,
+    }
+}
+
+fn changes(rows: Vec<Change>, revision: u64) -> Changes {
+    Changes {
+        revision,
+        rows,
+        clock: None,
+    }
+}
+
+fn rows(mirror: &Mirror) -> Vec<Change> {
+    mirror.since(0).changes
+}
+
+quickcheck! {
+    /// One copy follows the table, one hears a part of the changes and fetches the rest.
+    fn copies_converge_over_lost_pushes(steps: Vec<(u8, Option<u8>, bool)>) -> bool {
+        let (hub, other) = (Mirror::default(), Mirror::default());
+        hub.apply(changes(Vec::new(), 1));
+        other.apply(changes(Vec::new(), 1));
+        for (revision, (key, value, lost)) in (2..).zip(steps) {
+            let base = hub.revision();
+            hub.apply(changes(vec![change(key, value, revision)], revision));
+            if !lost {
+                // Refused if an earlier push was lost.
+                other.take(hub.since(base));
+            }
+        }
+        if !other.agree(hub.extent()) {
+            other.take(hub.since(other.revision())).unwrap();
+        }
+        rows(&hub) == rows(&other)
+    }
+
+    fn old_changes_change_nothing(steps: Vec<(u8, Option<u8>)>) -> bool {
+        let mirror = Mirror::default();
+        let all: Vec<Change> = (1..)
+            .zip(steps)
+            .map(|(revision, (key, value))| change(key, value, revision))
+            .collect();
+        let last = all.len() as u64;
+        mirror.apply(changes(all.clone(), last));
+        let before = rows(&mirror);
+        let old: Vec<Change> = all.into_iter().filter(|c| c.value.is_none()).collect();
+        mirror.apply(changes(old, last)).is_empty() && rows(&mirror) == before
+    }
+}
+
+#[test]
+fn a_read_older_than_the_copy_is_left_out() {
+    let mirror = Mirror::default();
+    mirror.apply(changes(vec![change(1, Some(1), 9)], 9));
+    let old = Range {
+        revision: 4,
+        rows: vec![Row {
+            key: "k1".to_owned(),
+            value: vec![0],
+            revision: 4,
+        }],
+        clock: None,
+    };
+    assert!(mirror.replace(old).is_empty());
+    assert_eq!(mirror.value("k1"), Some(vec![1]));
+}
+
+#[test]
+fn a_full_read_deletes_what_it_does_not_hold() {
+    let mirror = Mirror::default();
+    mirror.apply(changes(
+        vec![change(1, Some(1), 2), change(2, Some(1), 3)],
+        3,
+    ));
+    let range = Range {
+        revision: 8,
+        rows: vec![Row {
+            key: "k2".to_owned(),
+            value: vec![1],
+            revision: 3,
+        }],
+        clock: None,
+    };
+    let news = mirror.replace(range);
+    assert_eq!(news.len(), 1);
+    assert_eq!((news[0].key.as_str(), &news[0].value), ("k1", &None));
+}
+
+#[test]
+fn forgotten_deletions_are_told_by_all_rows() {
+    let mirror = Mirror::default();
+    for revision in 1..2_000 {
+        let value = (revision % 2 == 1).then_some(0);
+        mirror.apply(changes(vec![change(1, value, revision)], revision));
+    }
+    assert_eq!(mirror.since(3).base, None);
+    assert_eq!(mirror.since(1_990).base, Some(1_990));
+}
