--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -184,7 +184,8 @@
     let fits = |endpoint: &&Arc<Endpoint>| {
         let registration = &endpoint.registration;
         let model = call.ask.model.as_deref();
-        let serves = model.is_none() || endpoint.model().map(|m| &**m) == model;
+        let served = endpoint.model().map(|served| &**served);
+        let serves = served.is_none() || model.is_none() || served == model;
         serves && !registration.leaving && !tried.contains(&registration.name)
     };
     let look = |endpoint: &Arc<Endpoint>| {
