--- a/crates/policy/tests/fetch.rs
+++ b/crates/policy/tests/fetch.rs
@@ -1,5 +1,7 @@
 //! Choice among engines that can fetch cached prefixes from each other.
 
+#![expect(clippy::unwrap_used, reason = "a failed test may panic")]
+
 use policy::{
     belief::{
         Holder,
--- a/crates/router/tests/lease.rs
+++ b/crates/router/tests/lease.rs
@@ -1,5 +1,7 @@
 //! The lease for orders at a planned stop.
 
+#![expect(clippy::unwrap_used, reason = "a failed test may panic")]
+
 use std::{
     collections::BTreeMap,
     sync::{
