--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -97,6 +97,8 @@
     pub cost: f32,
     /// Another candidate that blocks can be fetched from.
     pub source: Option<usize>,
+    /// Blocks that are believed to be cached there.
+    pub source_hits: f32,
 }
 
 /// Buffers that are used again for each choice.
@@ -303,6 +305,7 @@
         wait,
         cost: (wait + expected + harm + candidate.doubt) * candidate.block_seconds,
         source: source.map(|source| source.index),
+        source_hits: source.map_or(0.0, |source| source.hits),
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod rights;
 pub mod rollout;
 pub mod share;
+pub mod shed;
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -140,6 +140,7 @@
     let source = source
         .filter(same)
         .map(|source| source.registration.address);
+    let believed = source.filter(|_| choice.source_hits > 0.0);
     let missing = chain.levels.len() as f32 - choice.hits;
     let store = call
         .catalog
@@ -155,7 +156,7 @@
     node.beliefs.raise(&chain.levels, view.holder);
     Ok(Chosen {
         version: endpoint.version(),
-        source: source.or(store),
+        source: believed.or(store).or(source),
         save_to: store,
         slot: known.count.enter(call.class(), choice.missed),
         endpoint,
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -28,7 +28,8 @@
         Allowance,
         Budget, //
     },
-    rights::term::Sighting, //
+    rights::term::Sighting,
+    shed::Lateness, //
 };
 use state::{
     belief,
@@ -143,6 +144,12 @@
     ///
     /// Sorted by service.
     repeats: Mutex<Vec<(Arc<str>, Budget)>>,
+    /// How late the most urgent requests begin, by service.
+    ///
+    /// # Invariants
+    ///
+    /// Sorted by service.
+    lateness: Mutex<Vec<(Arc<str>, Lateness)>>,
     /// Place of this instance among the hubs; [`NO_HUB`] if it is none.
     hub: AtomicUsize,
     stopping: AtomicBool,
@@ -177,6 +184,7 @@
             rollout: Notify::new(),
             metrics: Metrics::new()?,
             repeats: Mutex::default(),
+            lateness: Mutex::default(),
             hub: AtomicUsize::new(NO_HUB),
             stopping: AtomicBool::new(false),
             protocol: PhantomData,
@@ -389,6 +397,26 @@
         self.with_budget(service, |budget| budget.spend(allowance, sharers))
     }
 
+    /// Takes in that one of the most urgent requests at a service began.
+    pub fn began(&self, service: &Arc<str>, after: Duration, objective: Duration) {
+        let mut lateness = self.lateness.lock();
+        let index = match lateness.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(index) => index,
+            Err(index) => {
+                lateness.insert(index, (service.clone(), Lateness::default()));
+                index
+            }
+        };
+        lateness[index].1.add(clock::now(), after, objective);
+    }
+
+    /// Part of the less urgent requests at a service to refuse, from 0 to 1.
+    pub fn refused_part(&self, service: &Arc<str>) -> f64 {
+        let lateness = self.lateness.lock();
+        let place = lateness.binary_search_by(|(name, _)| name.cmp(service));
+        place.map_or(0.0, |index| lateness[index].1.refused_part(clock::now()))
+    }
+
     fn allowance(&self) -> Allowance {
         Allowance {
             ratio: self.config.bounds.retry_ratio,
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -43,6 +43,8 @@
     RateExceeded,
     /// No endpoint can take the request now.
     NoEndpoint,
+    /// The request would begin late and make more urgent ones later.
+    Overloaded,
     /// The time for the request has run out.
     DeadlineExceeded,
     /// The endpoint failed, and the request may have run.
@@ -61,6 +63,7 @@
             Reason::NotReady => "not_ready",
             Reason::RateExceeded => "rate_exceeded",
             Reason::NoEndpoint => "no_endpoint",
+            Reason::Overloaded => "overloaded",
             Reason::DeadlineExceeded => "deadline_exceeded",
             Reason::EndpointFailed => "endpoint_failed",
         }
@@ -114,11 +117,19 @@
             Reason::KeyUnknown => StatusCode::UNAUTHORIZED,
             Reason::NoRoute => StatusCode::NOT_FOUND,
             Reason::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
-            Reason::NotReady | Reason::NoEndpoint | Reason::DeadlineExceeded if unrun => {
+            Reason::NotReady
+            | Reason::NoEndpoint
+            | Reason::Overloaded
+            | Reason::DeadlineExceeded
+                if unrun =>
+            {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-            Reason::NotReady | Reason::NoEndpoint | Reason::EndpointFailed => {
+            Reason::NotReady
+            | Reason::NoEndpoint
+            | Reason::Overloaded
+            | Reason::EndpointFailed => {
                 StatusCode::BAD_GATEWAY
             }
         }
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -27,6 +27,7 @@
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use settings::Class;
 use telemetry::{
     emit,
     event,
@@ -99,6 +100,7 @@
     admitted: Admitted,
 ) -> Result<Response<Body>, Refusal> {
     let Admitted { call, charge } = admitted;
+    shed(node, &call)?;
     let mut attempts = Attempts::new(charge);
     let mut last_event = call.ask.last_event;
     let opened = open(node, &call, &mut attempts, &mut last_event).await?;
@@ -121,6 +123,20 @@
     Ok(response)
 }
 
+/// Refuses a part of the less urgent requests while urgent ones begin late: they would begin late
+/// too, and make the others later.
+fn shed<P: Protocol>(node: &Node<P>, call: &Call) -> Result<(), Refusal> {
+    if call.class() == Class::Urgent || call.ask.last_event.is_some() {
+        return Ok(());
+    }
+    if rand::random::<f64>() >= node.refused_part(&call.service) {
+        return Ok(());
+    }
+    let message = "more urgent requests begin late; come back later";
+    let wait = call.route.objective.mul_f64(rand::random_range(1.0..2.0));
+    Err(Refusal::not_run(Reason::Overloaded, message).retry_after(wait))
+}
+
 /// Sends the request until an endpoint has given the first events.
 async fn open<P: Protocol>(
     node: &Node<P>,
@@ -146,6 +162,10 @@
             match running.next(last_event, call.time_left()).await {
                 Ok(Some(first)) => {
                     running.chosen.began();
+                    if call.class() == Class::Urgent {
+                        let after = call.arrived.elapsed();
+                        node.began(&call.service, after, call.route.objective);
+                    }
                     let opened = (answer.head, running, first);
                     return Ok(Opened::Stream(Box::new(opened)));
                 }
