Keep engines for short urgent requests, and rank by workspace, then by route

Cause: short requests failed by their deadline while engines were not full: a log of all choices showed them beside prompts of up to 90,000 tokens, whose pieces stretch each step. Ruled out: load alone (p50 133 ms beside 1,800 failures).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fair;
 pub mod freshness;
 pub mod hub;
+pub mod lane;
 pub mod load;
 pub mod prefix;
 pub mod rank;
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -159,7 +159,7 @@
             engine: (chosen.version > 0).then(|| Engine {
                 salt: call.salt(chosen.version),
                 version: chosen.version,
-                priority: call.priority(),
+                priority: call.rank(),
                 fetch_from: chosen.source,
                 save_to: chosen.save_to,
             }),
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -21,8 +21,11 @@
         Choice,
         Request,
         Scratch, //
-    }, //
+    },
+    lane,
+    prefix::Chain, //
 };
+use settings::Class;
 use state::{
     clock,
     flight::Slot,
@@ -63,6 +66,10 @@
 /// Share of the blocks not known to be anywhere that their home is expected to have: other
 /// instances send most of their requests with the same prefix there.
 const HOME_PRIOR: f32 = 0.95;
+/// Longest request that counts as short, in blocks.
+const MAX_SHORT_BLOCKS: f32 = 1.0;
+/// By how much a running request delays others, in blocks: each adds to the time of a step.
+const RUNNING_BLOCKS: f32 = 0.05;
 /// Least blocks missing for which the store of prefixes is asked and told.
 const MIN_KEPT_BLOCKS: f32 = 1.5;
 /// Time to compute one block, in seconds. Answers do not tell how much of a prompt was cached, so
@@ -85,6 +92,8 @@
     /// A store that is to keep the prompt's prefix too.
     pub save_to: Option<SocketAddr>,
     slot: Slot,
+    /// Counts it among the short urgent requests, if it is one.
+    _lane: Option<crate::lane::Slot>,
     known: Arc<health::Endpoint>,
     holder: Holder,
     levels: Vec<u64>,
@@ -119,6 +128,8 @@
         eligible.retain(|e| !e.endpoint.is_loading());
     }
     let chain = call.chain();
+    let is_short = is_short(call, &chain);
+    keep_lane(node, call, &mut eligible, is_short);
     let request = Request {
         levels: &chain.levels,
         tail: chain.tail,
@@ -158,6 +169,7 @@
         version: endpoint.version(),
         source: believed.or(store).or(source),
         save_to: store,
+        _lane: is_short.then(|| node.lanes.enter(&call.service)),
         slot: known.count.enter(call.class(), choice.missed),
         endpoint,
         holder: view.holder,
@@ -166,6 +178,36 @@
     })
 }
 
+/// Whether the request is urgent and short enough for the engines that are kept for such.
+fn is_short(call: &Call, chain: &Chain) -> bool {
+    call.class() == Class::Urgent && chain.levels.is_empty() && chain.tail < MAX_SHORT_BLOCKS
+}
+
+/// Leaves the engines that are kept for short urgent requests, or the others.
+fn keep_lane<P: Protocol>(
+    node: &Node<P>,
+    call: &Call,
+    eligible: &mut Vec<Eligible>,
+    is_short: bool,
+) {
+    let service = call.catalog.service(&call.service);
+    let Some(engine) = service.and_then(|service| service.engine) else {
+        return;
+    };
+    let running = node.lanes.average(&call.service) * node.sharers() as f32;
+    let size = lane::size(running, engine.slots, eligible.len());
+    if size == 0 {
+        return;
+    }
+    // Those with the newest weights first; else in an order that all instances agree on.
+    eligible.sort_by_key(|e| (e.is_old, e.known.hash));
+    if is_short {
+        eligible.truncate(size);
+    } else {
+        eligible.drain(..size);
+    }
+}
+
 fn eligible<P: Protocol>(
     node: &Node<P>,
     call: &Call,
@@ -243,7 +285,7 @@
             hash: e.known.hash,
             holder: e.view.holder,
             in_flight: e.known.count.running(),
-            ahead: e.known.count.ahead(class),
+            ahead: e.known.count.ahead(class) + e.known.count.running() as f32 * RUNNING_BLOCKS,
             reported: 0.0,
             block_seconds,
             horizon: e.view.estimate.horizon,
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -50,6 +50,7 @@
     endpoints::Endpoints,
     exchange::Exchange,
     instance,
+    lane,
     lease,
     mirror::{
         Mirror,
@@ -152,6 +153,8 @@
     lateness: Mutex<Vec<(Arc<str>, Lateness)>>,
     /// Place of this instance among the hubs; [`NO_HUB`] if it is none.
     hub: AtomicUsize,
+    /// Short urgent requests that run, by service.
+    pub lanes: Arc<lane::Table>,
     stopping: AtomicBool,
     protocol: PhantomData<P>,
 }
@@ -186,6 +189,7 @@
             repeats: Mutex::default(),
             lateness: Mutex::default(),
             hub: AtomicUsize::new(NO_HUB),
+            lanes: Arc::default(),
             stopping: AtomicBool::new(false),
             protocol: PhantomData,
             config,
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -126,10 +126,7 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-            Reason::NotReady
-            | Reason::NoEndpoint
-            | Reason::Overloaded
-            | Reason::EndpointFailed => {
+            Reason::NotReady | Reason::NoEndpoint | Reason::Overloaded | Reason::EndpointFailed => {
                 StatusCode::BAD_GATEWAY
             }
         }
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -41,6 +41,9 @@
     }, //
 };
 
+/// Ranks of routes that are told apart within one rank of workspaces.
+const ROUTE_RANKS: u8 = 3;
+
 /// The caller's request as endpoints get it, but for what each attempt adds.
 #[derive(Clone, Debug)]
 pub struct Content {
@@ -86,15 +89,20 @@
         self.route.repeat == Repeat::Allowed
     }
 
-    /// Rank among requests to the same engine, 0 before all others.
-    pub fn priority(&self) -> u8 {
+    /// Rank among requests to the same engine, 0 before all others: that of the workspace decides,
+    /// and among workspaces of one rank that of the route.
+    pub fn rank(&self) -> u8 {
         let of_workspace = self.workspace.as_ref().and_then(|w| w.priority);
-        of_workspace.unwrap_or(self.route.priority)
+        let of_workspace = of_workspace.unwrap_or(0);
+        let of_route = self.route.priority.min(ROUTE_RANKS - 1);
+        of_workspace
+            .saturating_mul(ROUTE_RANKS)
+            .saturating_add(of_route)
     }
 
-    /// Urgency among requests that wait for the same endpoint.
+    /// Urgency of the route, which decides between requests of one workspace.
     pub fn class(&self) -> Class {
-        match self.priority() {
+        match self.route.priority {
             0 => Class::Urgent,
             1 => Class::Normal,
             _ => Class::MayWait,
