--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -5,6 +5,8 @@
 //! and how far its copy of the table goes. What was lost on the way is fetched
 //! over a connection.
 
+mod fetch;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -13,7 +15,6 @@
 
 use anyhow::Context;
 use parking_lot::Mutex;
-use platform::http::Client;
 use policy::hub::{
     self,
     Candidate,
@@ -41,7 +42,6 @@
         Alive,
         Ask,
         Beat,
-        Deltas,
         Digest,
         Extents,
         Feed,
@@ -50,15 +50,15 @@
         Message,
         Push, //
     },
-    mirror::{
-        Delta,
-        Mirror, //
-    },
     node::Node,
-    peer,
     protocol::Protocol,
     quota, //
 };
+use fetch::{
+    fetch,
+    mirror,
+    take, //
+};
 
 /// Time between the digests of a hub.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -334,62 +334,6 @@
     fetch(node, from);
 }
 
-/// Takes in changes; `false` if others are missing.
-fn take<P: Protocol>(node: &Node<P>, feed: Feed, delta: Delta) -> bool {
-    let Some(news) = mirror(node, feed).take(delta) else {
-        return false;
-    };
-    if news.is_empty() {
-        return true;
-    }
-    match feed {
-        Feed::Operator => node.operator_changed(&news),
-        Feed::Endpoints => node.endpoints_changed(&news),
-        Feed::Own => node.own_changed(&news),
-    }
-    true
-}
-
-fn mirror<P>(node: &Node<P>, feed: Feed) -> &Mirror {
-    match feed {
-        Feed::Operator => &node.mirrors.operator,
-        Feed::Endpoints => &node.mirrors.endpoints,
-        Feed::Own => &node.mirrors.own,
-    }
-}
-
-/// Fetches what is missing from the hub with this address, unless a fetch is under way.
-fn fetch<P: Protocol>(node: &Arc<Node<P>>, from: SocketAddr) {
-    let mut state = node.exchange.state.lock();
-    if state.fetching {
-        return;
-    }
-    state.fetching = true;
-    drop(state);
-    let node = node.clone();
-    tokio::spawn(async move {
-        if let Some(address) = node.members.peer_plane(from.ip()) {
-            fetch_now(&node, address).await;
-        }
-        node.exchange.state.lock().fetching = false;
-    });
-}
-
-async fn fetch_now<P: Protocol>(node: &Node<P>, address: SocketAddr) {
-    let client: &Client = &node.peers;
-    let deltas: Deltas = match peer::changes(node, client, address).await {
-        Ok(deltas) => deltas,
-        Err(reason) => {
-            emit!(debug, event::PEER_FAULT, peer = %address, reason = %reason);
-            return;
-        }
-    };
-    // A hub that restarted meanwhile may know less; what it knows is taken all the same.
-    take(node, Feed::Operator, deltas.operator);
-    take(node, Feed::Endpoints, deltas.endpoints);
-    take(node, Feed::Own, deltas.own);
-}
-
 async fn tell<P: Protocol>(node: &Node<P>) {
     let mut count: u32 = 0;
     loop {
--- a/crates/router/src/rollout.rs
+++ b/crates/router/src/rollout.rs
@@ -4,6 +4,8 @@
 //! engines have come into the table, so that all instances keep away from
 //! engines that load and know at once which ones serve the new weights.
 
+mod load;
+
 use std::{
     sync::{
         Arc,
@@ -15,11 +17,7 @@
     time::Duration, //
 };
 
-use endpoint::{
-    Verdict,
-    order, //
-};
-use parking_lot::Mutex;
+use endpoint::order;
 use platform::table::{
     Change,
     Txn,
@@ -34,16 +32,12 @@
     Deserialize,
     Serialize, //
 };
-use state::{
-    clock,
-    lease::Grant, //
-};
+use state::clock;
 use telemetry::{
     emit,
     event, //
 };
 use tokio::{
-    sync::Semaphore,
     task::JoinSet,
     time::Instant, //
 };
@@ -60,11 +54,13 @@
         Node,
         Wanted, //
     },
-    protocol::{
-        Order,
-        Protocol,
-        Taken, //
-    }, //
+    protocol::Protocol, //
+};
+use load::{
+    Ended,
+    Load,
+    Pace,
+    START_LOAD_TIME, //
 };
 
 /// Time between looks at what there is to do while there is something.
@@ -73,19 +69,6 @@
 const IDLE_INTERVAL: Duration = Duration::from_secs(5);
 /// By how much later each further instance tries to take the lease, so that not all do.
 const TURN: Duration = Duration::from_millis(300);
-/// Time between looks at an engine that loads.
-const LOOK_INTERVAL: Duration = Duration::from_millis(120);
-/// Time that a load is expected to take before any was timed.
-const START_LOAD_TIME: Duration = Duration::from_millis(1_500);
-/// Part of the expected time after which a loading engine is looked at, and after which the next
-/// engine is freed of requests.
-const FIRST_LOOK_PART: f64 = 0.75;
-/// Weight of a new sample of the time that a load takes.
-const LOAD_TIME_WEIGHT: f64 = 0.3;
-/// Time for the other instances to hear that an engine is about to load.
-const HEARD_TIME: Duration = Duration::from_millis(200);
-/// Longest time for one engine to load before it is left alone for a while.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time for which an engine that did not load is left alone.
 const FAILED_PAUSE: Duration = Duration::from_secs(2);
 
@@ -131,43 +114,6 @@
     fleet.all().iter().filter(serves).cloned().collect()
 }
 
-/// How one engine's load ended.
-#[derive(Debug)]
-struct Ended {
-    endpoint: Arc<Endpoint>,
-    loaded: bool,
-}
-
-/// What the loads of one model's engines share.
-#[derive(Debug)]
-struct Pace {
-    /// Engines that load at the same time.
-    permits: Semaphore,
-    /// How many those may be.
-    most: usize,
-    /// Time that a load takes.
-    load_time: Mutex<Duration>,
-}
-
-impl Pace {
-    fn new(most: usize, load_time: Duration) -> Self {
-        Self {
-            permits: Semaphore::new(most),
-            most,
-            load_time: Mutex::new(load_time),
-        }
-    }
-
-    fn first_look(&self) -> Duration {
-        self.load_time.lock().mul_f64(FIRST_LOOK_PART)
-    }
-
-    fn learn(&self, sample: Duration) {
-        let mut time = self.load_time.lock();
-        *time = time.mul_f64(1.0 - LOAD_TIME_WEIGHT) + sample.mul_f64(LOAD_TIME_WEIGHT);
-    }
-}
-
 /// An engine that loads, or is being freed of requests before.
 #[derive(Debug)]
 struct Loading {
@@ -402,143 +348,16 @@
 
     fn progress(&self, wanted: &Wanted) -> Progress {
         let engines = engines(&self.node, &wanted.model);
-        let names = |fits: &dyn Fn(&Endpoint) -> bool| {
-            let fitting = engines.iter().filter(|e| fits(e));
-            fitting.map(|e| e.registration.name.clone()).collect()
-        };
         Progress {
             version: wanted.version,
-            loading: names(&|e| self.weights(e, wanted) == Weights::Loading),
-            done: names(&|e| e.version() >= wanted.version),
+            loading: names(&engines, |e| self.weights(e, wanted) == Weights::Loading),
+            done: names(&engines, |e| e.version() >= wanted.version),
         }
     }
 }
 
-/// One engine that is to load.
-struct Load<P> {
-    node: Arc<Node<P>>,
-    endpoint: Arc<Endpoint>,
-    pace: Arc<Pace>,
-    is_ending: Arc<AtomicBool>,
-    model: String,
-    version: u64,
-}
-
-impl<P: Protocol> Load<P> {
-    async fn run(self) -> Ended {
-        tokio::time::sleep(HEARD_TIME).await;
-        // Never closed.
-        let _permit = self.pace.permits.acquire().await.ok();
-        let loaded = tokio::time::timeout(LOAD_TIMEOUT, self.load()).await;
-        Ended {
-            loaded: loaded.unwrap_or(false),
-            endpoint: self.endpoint,
-        }
-    }
-
-    /// Looks and orders until the engine serves the version; `false` if that is not to be had.
-    async fn load(&self) -> bool {
-        let mut ordered: Option<Instant> = None;
-        loop {
-            let Some(report) = self.report().await else {
-                return false;
-            };
-            let mut versions = report.versions.iter();
-            let served = versions.find(|(model, _)| *model == self.model);
-            if served.is_some_and(|(_, version)| *version >= self.version) {
-                self.endpoint.hear_version(self.version);
-                if let Some(at) = ordered {
-                    self.pace.learn(at.elapsed());
-                }
-                emit!(
-                    info,
-                    event::WEIGHTS_LOADED,
-                    endpoint = &*self.endpoint.registration.name,
-                    version = self.version,
-                );
-                return true;
-            }
-            if report.loading {
-                tokio::time::sleep(LOOK_INTERVAL).await;
-                continue;
-            }
-            match self.give(report.accepted).await {
-                Some(Taken::Yes) => {
-                    ordered.get_or_insert_with(Instant::now);
-                    tokio::time::sleep(self.pace.first_look()).await;
-                    self.is_ending.store(true, Ordering::Relaxed);
-                    self.node.rollout.notify_one();
-                }
-                Some(Taken::Busy) => tokio::time::sleep(LOOK_INTERVAL).await,
-                Some(Taken::Fenced | Taken::No) | None => return false,
-            }
-        }
-    }
-
-    async fn report(&self) -> Option<crate::protocol::Report> {
-        let registration = &self.endpoint.registration;
-        let question = P::report(&registration.name, registration.address);
-        let (status, body) = order::ask(registration.address, question).await.ok()?;
-        if !status.is_success() {
-            return None;
-        }
-        P::read_report(&body).ok()
-    }
-
-    /// Gives the order if the lease lasts long enough for it.
-    async fn give(&self, accepted_before: u64) -> Option<Taken> {
-        let grant = self.grant()?;
-        let registration = &self.endpoint.registration;
-        let order = Order {
-            endpoint: &registration.name,
-            model: &self.model,
-            version: self.version,
-            holder: &self.node.config.name,
-            fence: grant.number,
-            accepted_before,
-        };
-        let request = P::order(&order, registration.address);
-        // Asked again when the last byte is about to go out.
-        let node = self.node.clone();
-        let in_time = move || {
-            let now = node.lease.check(order::LIFE);
-            now.is_some_and(|now| now.number == grant.number)
-        };
-        let (endpoint, version, fence) = (&*registration.name, self.version, grant.number);
-        match order::give(registration.address, request, in_time).await {
-            Ok(status) => {
-                let taken = P::taken(status);
-                if taken == Taken::Yes {
-                    emit!(info, event::ORDER_GIVEN, endpoint, version, fence);
-                } else {
-                    let status = status.as_u16();
-                    emit!(info, event::ORDER_REFUSED, endpoint, version, fence, status);
-                }
-                Some(taken)
-            }
-            Err(failure) => {
-                emit!(
-                    info,
-                    event::ORDER_REFUSED,
-                    endpoint,
-                    version,
-                    fence,
-                    reason = %failure.fault,
-                );
-                // It may be carried out late; the next look tells.
-                (failure.verdict != Verdict::NotRun).then_some(Taken::Busy)
-            }
-        }
-    }
-
-    /// Orders to engines that obey any fencing number wait until those of the holder before
-    /// cannot arrive any more.
-    fn grant(&self) -> Option<Grant> {
-        let grant = self.node.lease.check(order::LIFE)?;
-        if self.node.is_stopping() {
-            return None;
-        }
-        let quiet = clock::now() >= grant.quiet_until;
-        (self.node.config.bounds.engines_check_fences || quiet).then_some(grant)
-    }
+/// Names of the engines for which `fits` holds.
+fn names(engines: &[Arc<Endpoint>], fits: impl Fn(&Endpoint) -> bool) -> Vec<Arc<str>> {
+    let fitting = engines.iter().filter(|engine| fits(engine));
+    fitting.map(|e| e.registration.name.clone()).collect()
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -86,8 +86,6 @@
     ENDPOINT_UNREADABLE = 403;
     /// A stream goes on at another endpoint.
     STREAM_RESUMED = 404;
-    /// A request was served.
-    REQUEST_SERVED = 405;
     /// The outcome of a request that may run once could not be written; replays hear that it may have run.
     CLAIM_UNSETTLED = 420;
     /// The table gave no answer about token rights; they end with their term if this lasts.
