--- a/crates/damaskd/src/config.rs
+++ b/crates/damaskd/src/config.rs
@@ -8,9 +8,9 @@
 
 use anyhow::{
     Context,
-    anyhow,
     bail, //
 };
+use router::config::parse_json;
 use serde::{
     Deserialize,
     Serialize, //
@@ -180,13 +180,7 @@
     ///
     /// Names the field and the remedy.
     pub fn parse(text: &str) -> anyhow::Result<Self> {
-        let mut reader = serde_json::Deserializer::from_str(text);
-        // The path names the field; the parser's own error knows only line and column.
-        let config: Self = serde_path_to_error::deserialize(&mut reader)
-            .map_err(|error| anyhow!("field {}: {}", error.path(), error.inner()))?;
-        reader
-            .end()
-            .map_err(|error| anyhow!("text after the settings: {error}; remove it"))?;
+        let config: Self = parse_json(text)?;
         config.check()?;
         Ok(config)
     }
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -62,7 +62,6 @@
 /// Cost of fetching a block from another engine, as a part of the cost of computing it: the links
 /// between engines carry a block's memory about eight times as fast.
 const FETCH_COST: f32 = 0.15;
-
 /// Share of the blocks not known to be anywhere that their home is expected to have: other
 /// instances send most of their requests with the same prefix there.
 const HOME_PRIOR: f32 = 0.95;
@@ -144,19 +143,7 @@
         let refusal = Refusal::not_run(Reason::NoEndpoint, message);
         return Err(refusal.retry_after(NO_ENDPOINT_RETRY));
     };
-    let source = choice.source.map(|index| &eligible[index].endpoint);
-    // Another version's memory is of no use.
-    let same =
-        |source: &&Arc<Endpoint>| source.version() == eligible[choice.index].endpoint.version();
-    let source = source
-        .filter(same)
-        .map(|source| source.registration.address);
-    let believed = source.filter(|_| choice.source_hits > 0.0);
-    let missing = chain.levels.len() as f32 - choice.hits;
-    let store = call
-        .catalog
-        .prefix_store()
-        .filter(|_| missing > MIN_KEPT_BLOCKS);
+    let places = Places::new(call, &choice, &eligible, &chain);
     let Eligible {
         endpoint,
         known,
@@ -167,8 +154,8 @@
     node.beliefs.raise(&chain.levels, view.holder);
     Ok(Chosen {
         version: endpoint.version(),
-        source: believed.or(store).or(source),
-        save_to: store,
+        source: places.source,
+        save_to: places.save_to,
         _lane: is_short.then(|| node.lanes.enter(&call.service)),
         slot: known.count.enter(call.class(), choice.missed),
         endpoint,
@@ -178,6 +165,31 @@
     })
 }
 
+/// Where a prompt's prefix may be fetched from, and where it is to be kept.
+struct Places {
+    source: Option<SocketAddr>,
+    save_to: Option<SocketAddr>,
+}
+
+impl Places {
+    fn new(call: &Call, choice: &Choice, eligible: &[Eligible], chain: &Chain) -> Self {
+        let version = eligible[choice.index].endpoint.version();
+        let source = choice.source.map(|index| &eligible[index].endpoint);
+        // Another version's memory is of no use.
+        let source = source.filter(|source| source.version() == version);
+        let source = source.map(|source| source.registration.address);
+        let missing = chain.levels.len() as f32 - choice.hits;
+        let store = call.catalog.prefix_store();
+        let store = store.filter(|_| missing > MIN_KEPT_BLOCKS);
+        // A home that is only expected to have the prefix comes after the store.
+        let believed = source.filter(|_| choice.source_hits > 0.0);
+        Self {
+            source: believed.or(store).or(source),
+            save_to: store,
+        }
+    }
+}
+
 /// Whether the request is urgent and short enough for the engines that are kept for such.
 fn is_short(call: &Call, chain: &Chain) -> bool {
     call.class() == Class::Urgent && chain.levels.is_empty() && chain.tail < MAX_SHORT_BLOCKS
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -13,7 +13,8 @@
 };
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    de::DeserializeOwned, //
 };
 use serde_with::{
     DurationMilliSeconds,
@@ -106,24 +107,9 @@
     ///
     /// Names the file, the field and the remedy.
     pub fn read(path: &Path) -> anyhow::Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("{}: cannot be read", path.display()))?;
-        Self::parse(&text).with_context(|| format!("{}: refused", path.display()))
-    }
-
-    /// Parses and checks the text of a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Names the field and the remedy.
-    pub fn parse(text: &str) -> anyhow::Result<Self> {
-        let mut reader = serde_json::Deserializer::from_str(text);
-        let config: Self = serde_path_to_error::deserialize(&mut reader)
-            .map_err(|error| anyhow!("field {}: {}", error.path(), error.inner()))?;
-        reader
-            .end()
-            .map_err(|error| anyhow!("text after the settings: {error}; remove it"))?;
-        config.check()?;
+        let config: Self = read_json(path)?;
+        let refused = || format!("{}: refused", path.display());
+        config.check().with_context(refused)?;
         Ok(config)
     }
 
@@ -143,3 +129,30 @@
         Ok(())
     }
 }
+
+/// Reads a JSON file of settings.
+///
+/// # Errors
+///
+/// Names the file, the field and what is wrong with it.
+pub fn read_json<T: DeserializeOwned>(path: &Path) -> anyhow::Result<T> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("{}: cannot be read", path.display()))?;
+    parse_json(&text).with_context(|| format!("{}: refused", path.display()))
+}
+
+/// Parses the text of settings.
+///
+/// # Errors
+///
+/// Names the field and what is wrong with it.
+pub fn parse_json<T: DeserializeOwned>(text: &str) -> anyhow::Result<T> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    // The path names the field; the parser's own error knows only line and column.
+    let value: T = serde_path_to_error::deserialize(&mut reader)
+        .map_err(|error| anyhow!("field {}: {}", error.path(), error.inner()))?;
+    reader
+        .end()
+        .map_err(|error| anyhow!("text after the settings: {error}; remove it"))?;
+    Ok(value)
+}
