One instance places the long requests of all; short requests keep engines by what they take

Only the first of three stores was used; each engine now uses that of its failure domain, and a store is told to keep what was asked for before.

--- a/crates/damaskd/src/caller/choose.rs
+++ b/crates/damaskd/src/caller/choose.rs
@@ -128,6 +128,7 @@
         seed: rand::random(),
         fetch: None,
         home_prior: choice::HOME_PRIOR,
+        is_sole: false,
     };
     let Some(choice) = pick(node, route, &eligible, &request) else {
         let message = format!("route {} has no endpoint left to try", route.name);
@@ -213,6 +214,8 @@
             block_seconds: view.estimate.block_seconds,
             horizon: view.estimate.horizon,
             doubt: if view.doubtful { DOUBT_BLOCKS } else { 0.0 },
+            kept: 0.0,
+            kept_wait: 0.0,
             harm: endpoint.count.more_urgent(class) as f32,
         })
         .collect();
--- a/crates/policy/benches/choice.rs
+++ b/crates/policy/benches/choice.rs
@@ -62,6 +62,8 @@
         horizon: 5_000,
         harm: 0.0,
         doubt: 0.0,
+        kept: 0.0,
+        kept_wait: 0.0,
     };
     (0..).zip(names).map(candidate).collect()
 }
@@ -105,6 +107,7 @@
             seed: turn,
             fetch: None,
             home_prior: HOME_PRIOR,
+            is_sole: false,
         };
         pick(&candidates, &table, black_box(&request), &mut scratch)
     };
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -61,6 +61,10 @@
     pub harm: f32,
     /// Blocks by which it is held dearer since it may serve other weights.
     pub doubt: f32,
+    /// Blocks of the prompt that a store of prefixes keeps for it.
+    pub kept: f32,
+    /// Blocks that it could compute before that store begins to send.
+    pub kept_wait: f32,
 }
 
 /// What is asked of an endpoint.
@@ -80,6 +84,9 @@
     /// Share of the missing blocks that the home of the first missing level is expected to have,
     /// since other instances send that level there too; [`HOME_PRIOR`] where beliefs are shared.
     pub home_prior: f32,
+    /// Whether no other instance chooses: all candidates are then worth a look, and choices need
+    /// not vary.
+    pub is_sole: bool,
 }
 
 /// A choice with its reasons.
@@ -95,12 +102,21 @@
     pub wait: f32,
     /// Expected time to the first token with all penalties, in seconds.
     pub cost: f32,
-    /// Another candidate that blocks can be fetched from.
-    pub source: Option<usize>,
-    /// Blocks that are believed to be cached there.
+    /// Where blocks can be fetched from.
+    pub source: Option<Source>,
+    /// Blocks that are believed to be there.
     pub source_hits: f32,
 }
 
+/// Where an endpoint can fetch blocks from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The candidate with this index.
+    Endpoint(usize),
+    /// The store of prefixes.
+    Store,
+}
+
 /// Buffers that are used again for each choice.
 #[derive(Clone, Debug, Default)]
 pub struct Scratch {
@@ -159,6 +175,10 @@
     /// Collects the candidates worth a look: believed holders, homes and samples.
     fn consider(&mut self, candidates: &[Candidate<'_>], request: &Request<'_>) {
         self.considered.clear();
+        if request.is_sole {
+            self.considered.extend((0..).take(candidates.len()));
+            return;
+        }
         for (index, hits) in (0..).zip(&self.hits) {
             if *hits > 0.1 {
                 self.considered.push(index);
@@ -253,9 +273,10 @@
         };
         assess(candidates, &place, source.as_ref(), request)
     });
+    let jitter = if request.is_sole { 0.0 } else { JITTER };
     choices.min_by(|a, b| {
-        let (a, b) = (jittered(a, request.seed), jittered(b, request.seed));
-        a.total_cmp(&b)
+        let cost = |choice| jittered(choice, request.seed, jitter);
+        cost(a).total_cmp(&cost(b))
     })
 }
 
@@ -281,6 +302,56 @@
     (hits + 0.5) as usize
 }
 
+/// A way to get blocks that a candidate lacks.
+#[derive(Clone, Copy, Debug)]
+struct Fetch {
+    source: Source,
+    /// Blocks that are believed to be at the source.
+    hits: f32,
+    /// Blocks that it has beyond those of the candidate.
+    gain: f32,
+    /// Blocks that could be computed before the source begins to send.
+    wait: f32,
+}
+
+impl Fetch {
+    /// The cost of `missing` blocks, in blocks that are computed.
+    fn cost(&self, missing: f32, fetch: f32) -> f32 {
+        self.wait + (missing - self.gain).max(0.0) + self.gain * fetch
+    }
+}
+
+/// The cheapest way to get blocks that `place` lacks, if that is worth it.
+fn fetch(
+    candidate: &Candidate<'_>,
+    place: &Place,
+    source: Option<&Place>,
+    request: &Request<'_>,
+) -> Option<(Fetch, f32)> {
+    let cost_of_one = request.fetch?;
+    let all = request.levels.len() as f32;
+    let own = place.expected(all);
+    let missing = (all - own).max(0.0);
+    let other = source.filter(|source| source.index != place.index);
+    let other = other.map(|source| Fetch {
+        source: Source::Endpoint(source.index),
+        hits: source.hits,
+        gain: source.expected(all) - own,
+        wait: 0.0,
+    });
+    let store = Fetch {
+        source: Source::Store,
+        hits: candidate.kept,
+        gain: candidate.kept - own,
+        wait: candidate.kept_wait,
+    };
+    let ways = other.into_iter().chain([store]);
+    ways.filter(|way| way.gain > MIN_FETCHED)
+        .map(|way| (way, way.cost(missing, cost_of_one)))
+        .filter(|(_, cost)| *cost < missing)
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+}
+
 /// The cost of one candidate.
 fn assess(
     candidates: &[Candidate<'_>],
@@ -290,28 +361,26 @@
 ) -> Choice {
     let candidate = &candidates[place.index];
     let all = request.levels.len() as f32;
-    let own = place.expected(all);
-    let source = source.filter(|s| s.index != place.index && s.expected(all) > own + MIN_FETCHED);
-    let fetched = source.map_or(0.0, |source| source.expected(all) - own);
+    let missing = (all - place.expected(all)).max(0.0);
+    let fetch = fetch(candidate, place, source, request);
+    let expected = fetch.map_or(missing, |(_, cost)| cost) + request.tail;
     let missed = (all - place.hits).max(0.0) + request.tail;
-    let computed = (all - own - fetched).max(0.0) + request.tail;
-    let expected = computed + fetched * request.fetch.unwrap_or(1.0);
     let wait = candidate.ahead + candidate.reported;
     let harm = candidate.harm.min(expected);
     Choice {
         index: place.index,
         hits: place.hits,
-        missed: if fetched > 0.0 { expected } else { missed },
+        missed: if fetch.is_some() { expected } else { missed },
         wait,
         cost: (wait + expected + harm + candidate.doubt) * candidate.block_seconds,
-        source: source.map(|source| source.index),
-        source_hits: source.map_or(0.0, |source| source.hits),
+        source: fetch.map(|(way, _)| way.source),
+        source_hits: fetch.map_or(0.0, |(way, _)| way.hits),
     }
 }
 
-fn jittered(choice: &Choice, seed: u64) -> f32 {
+fn jittered(choice: &Choice, seed: u64, jitter: f32) -> f32 {
     let dice = mix(seed ^ choice.index as u64) as f32 / u64::MAX as f32;
-    choice.cost * (1.0 + JITTER * dice)
+    choice.cost * (1.0 + jitter * dice)
 }
 
 /// Picks by one of the baselines.
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -14,47 +14,64 @@
 const MOST_PART: usize = 2;
 /// Time over which running requests are averaged; engines change sides no faster.
 const MEMORY: Duration = Duration::from_secs(3);
+/// Longest time for which one request counts. A short one that takes longer waits for an engine
+/// that is gone or full, and more engines kept would be taken from the long ones in vain.
+const MAX_COUNTED: Duration = Duration::from_millis(500);
 
-/// Short urgent requests of this instance that run, now and on average.
+/// Part of an engine's time that the prompts of short requests may take before another engine is
+/// kept for them; the tokens of their answers take as much again.
+const BUSY: f32 = 0.4;
+
+/// Short urgent requests of late.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Level {
-    running: u32,
-    average: f32,
+    load: Load,
     at: Duration,
 }
 
-impl Level {
-    /// One more runs.
-    pub fn enter(&mut self, now: Duration) {
-        self.note(now);
-        self.running += 1;
-    }
+/// What short urgent requests ask of engines, on average.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests that run at a time.
+    pub running: f32,
+    /// Blocks of prompt that are computed in a second.
+    pub blocks: f32,
+}
 
-    /// One has ended.
-    pub fn leave(&mut self, now: Duration) {
-        self.note(now);
-        self.running = self.running.saturating_sub(1);
+impl Load {
+    /// The load if `times` as many requests came.
+    pub fn times(self, times: f32) -> Self {
+        Self {
+            running: self.running * times,
+            blocks: self.blocks * times,
+        }
     }
+}
 
-    /// How many run on average.
-    pub fn average(&self, now: Duration) -> f32 {
-        let age = now.saturating_sub(self.at).as_secs_f32();
-        let kept = (-age / MEMORY.as_secs_f32()).exp();
-        let running = self.running as f32;
-        running + (self.average - running) * kept
+impl Level {
+    /// A request for `blocks` of prompt has ended that ran for `time`.
+    pub fn ended(&mut self, now: Duration, time: Duration, blocks: f32) {
+        let window = MEMORY.as_secs_f32();
+        self.load = self.average(now);
+        self.load.running += time.min(MAX_COUNTED).as_secs_f32() / window;
+        self.load.blocks += blocks / window;
+        self.at = now.max(self.at);
     }
 
-    fn note(&mut self, now: Duration) {
-        self.average = self.average(now);
-        self.at = now.max(self.at);
+    /// The load of late.
+    pub fn average(&self, now: Duration) -> Load {
+        let age = now.saturating_sub(self.at).as_secs_f32();
+        self.load.times((-age / MEMORY.as_secs_f32()).exp())
     }
 }
 
-/// How many of `engines` with `slots` each are kept while `running` short urgent requests run at
-/// all of them.
-pub fn size(running: f32, slots: u32, engines: usize) -> usize {
+/// How many of `engines` with `slots` each, which take `block_seconds` for a block, are kept for
+/// short urgent requests of all instances.
+pub fn size(load: Load, slots: u32, block_seconds: f32, engines: usize) -> usize {
     let each = (slots as f32 * FILL).max(1.0);
-    let needed = (running / each).ceil() as usize;
+    let by_slots = load.running / each;
+    let by_time = load.blocks * block_seconds / BUSY;
+    let needed = by_slots.max(by_time).ceil() as usize;
     let least = engines.div_ceil(LEAST_PART);
     needed.max(least).min(engines / MOST_PART)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! same code runs in the daemon, in golden tests, in properties and in benches.
 
 pub mod admission;
+pub mod backlog;
 pub mod baseline;
 pub mod belief;
 pub mod breaker;
@@ -11,6 +12,8 @@
 pub mod fair;
 pub mod freshness;
 pub mod hub;
+pub mod inflow;
+pub mod keep;
 pub mod lane;
 pub mod load;
 pub mod prefix;
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use crate::{
+    backlog::Backlog,
     belief::Millis,
-    breaker::Breaker, //
+    breaker::Breaker,
+    inflow::Inflow, //
 };
 
 /// Time for a block before any answer was timed, in seconds.
@@ -46,6 +48,10 @@
     pub work: f32,
     /// The newest load report.
     pub report: Report,
+    /// Work that this instance has placed there for all instances.
+    pub placed: Backlog,
+    /// Tokens that were given to it.
+    pub inflow: Inflow,
     /// Failures in a row.
     pub breaker: Breaker,
 }
@@ -57,6 +63,8 @@
             horizon: START_HORIZON,
             work: 1.0,
             report: Report::default(),
+            placed: Backlog::default(),
+            inflow: Inflow::default(),
             breaker: Breaker::default(),
         }
     }
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -59,6 +59,8 @@
             horizon: estimate.horizon,
             harm: 0.0,
             doubt: 0.0,
+            kept: 0.0,
+            kept_wait: 0.0,
         })
         .collect()
 }
@@ -91,6 +93,7 @@
             seed: self.random,
             fetch: None,
             home_prior: HOME_PRIOR,
+            is_sole: false,
         };
         let choice = pick(&self.candidates, &self.beliefs, &request, &mut self.scratch)?;
         let candidate = &mut self.candidates[choice.index];
@@ -141,6 +144,7 @@
         seed: 7,
         fetch: None,
         home_prior: HOME_PRIOR,
+        is_sole: false,
     };
     let mut expected = |epoch| {
         let mut candidate = instance.candidates[index];
@@ -270,6 +274,7 @@
             seed,
             fetch: None,
             home_prior: HOME_PRIOR,
+            is_sole: false,
         };
         let choice = pick(&candidates, &table, &request, &mut Scratch::default()).unwrap();
         // Both are sampled at most seeds; then the second must win.
--- a/crates/policy/tests/fetch.rs
+++ b/crates/policy/tests/fetch.rs
@@ -12,6 +12,7 @@
         Choice,
         Request,
         Scratch,
+        Source,
         pick, //
     },
     prefix::{
@@ -45,6 +46,8 @@
             horizon: 30_000,
             harm: 0.0,
             doubt: 0.0,
+            kept: 0.0,
+            kept_wait: 0.0,
         })
         .collect()
 }
@@ -61,6 +64,7 @@
         seed,
         fetch: Some(0.15),
         home_prior: 0.95,
+        is_sole: false,
     };
     pick(candidates, table, &request, &mut Scratch::default()).unwrap()
 }
@@ -98,7 +102,7 @@
     candidates[home].ahead = 12.0;
     let choice = choose(&candidates, &beliefs, &chain, 1);
     assert_ne!(choice.index, home);
-    assert_eq!(choice.source, Some(home));
+    assert_eq!(choice.source, Some(Source::Endpoint(home)));
     // What is fetched is computed no more.
     assert!(choice.missed < chain.levels.len() as f32, "{choice:?}");
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -111,7 +111,7 @@
             if call.time_left() < MIN_TIME_LEFT {
                 return Err(self.out_of_time());
             }
-            let chosen = match choose::choose(node, call, &self.tried) {
+            let chosen = match choose::choose(node, call, &self.tried).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return Err(self.refuse(refusal)),
             };
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -96,10 +96,25 @@
     pub slots: u32,
     /// Tokens that fit into the memory of one engine.
     pub cache_tokens: u64,
+    /// Memory of one token, in bytes.
+    pub token_bytes: u64,
+}
+
+/// A store that keeps prefixes for engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PrefixStore {
+    /// IP address and port.
+    pub address: SocketAddr,
+    /// Failure domain; transfers to engines of others take twice as long.
+    pub domain: Box<str>,
+    /// Tokens that fit into its memory.
+    pub cache_tokens: u64,
+    /// Bandwidth of its link, in megabits a second.
+    pub link_mbps: f64,
 }
 
 /// Endpoints that do the same work.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name, as endpoints give it when they register.
     pub name: Arc<str>,
@@ -107,8 +122,8 @@
     pub max_connections: usize,
     /// What model engines have in common; `None` for plain services.
     pub engine: Option<Engine>,
-    /// Where prefixes are kept for engines, if the service is such a store.
-    pub prefix_store: Option<SocketAddr>,
+    /// Set if the service is a store of prefixes.
+    pub prefix_store: Option<PrefixStore>,
 }
 
 /// Bounds on what callers may send.
@@ -130,7 +145,7 @@
 }
 
 /// One accepted configuration in full.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
     /// Rises with each accepted configuration.
     pub version: u64,
@@ -199,9 +214,12 @@
         place.ok().map(|index| &self.services[index])
     }
 
-    /// The store that keeps prefixes for engines, if there is one.
-    pub fn prefix_store(&self) -> Option<SocketAddr> {
-        self.services.iter().find_map(|s| s.prefix_store)
+    /// The store that keeps prefixes for engines of `domain`, with its name: one of the same
+    /// domain, if there is one.
+    pub fn prefix_store(&self, domain: &str) -> Option<(&Arc<str>, &PrefixStore)> {
+        let stores = self.services.iter();
+        let stores = stores.filter_map(|s| Some((&s.name, s.prefix_store.as_ref()?)));
+        stores.min_by_key(|(_, store)| *store.domain != *domain)
     }
 
     /// All workspaces that have a key, each at least once.
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -40,17 +40,16 @@
     },
     message::{
         Alive,
-        Ask,
         Beat,
         Digest,
         Extents,
         Feed,
-        Grant,
         MAX_BYTES,
         Message,
         Push, //
     },
     node::Node,
+    planner,
     protocol::Protocol,
     quota, //
 };
@@ -66,9 +65,6 @@
 const DIGESTS_PER_BEAT: u32 = 3;
 /// Time for which changes that a hub has may be missing before this instance reads the table.
 const BEHIND_TIME: Duration = Duration::from_millis(600);
-/// Least bandwidth of a hub's link, in megabits a second, if any instance has as much: a change
-/// of the configuration goes to all others at once.
-const HUB_LINK_MBPS: u32 = 100;
 /// Time after which what was heard of a hub is dropped.
 const HEARD_HORIZON: Duration = Duration::from_secs(5);
 
@@ -102,8 +98,8 @@
     fetching: bool,
     /// Since when changes that a hub has are missing here.
     behind_since: Option<Duration>,
-    /// Questions to owners of limits that wait for their answers.
-    asked: Vec<(u32, oneshot::Sender<Grant>)>,
+    /// Questions to other instances that wait for their answers.
+    asked: Vec<(u32, oneshot::Sender<Message>)>,
     last_id: u32,
 }
 
@@ -202,11 +198,9 @@
 }
 
 /// Whether this instance is a hub, and the addresses of the hubs.
-fn hubs<P: Protocol>(node: &Node<P>, members: Vec<Member>) -> (Option<usize>, Vec<SocketAddr>) {
-    let is_wide = |member: &Member| member.row.link_mbps >= HUB_LINK_MBPS;
-    let any_wide = members.iter().any(is_wide);
-    let mut members = members;
-    members.retain(|member| !any_wide || is_wide(member));
+fn hubs<P: Protocol>(node: &Node<P>, mut members: Vec<Member>) -> (Option<usize>, Vec<SocketAddr>) {
+    let any_wide = members.iter().any(Member::is_wide);
+    members.retain(|member| !any_wide || member.is_wide());
     let candidates: Vec<Candidate<'_>> = members
         .iter()
         .map(|member| Candidate {
@@ -268,24 +262,31 @@
                 send(node, &Message::Grant(grant), from).await;
             }
         }
-        Message::Grant(grant) => node.exchange.answer(grant),
+        Message::Grant(ref grant) => node.exchange.answer(grant.id, message),
+        Message::Place(place) => {
+            if let Some(placed) = planner::answer(node, &place) {
+                send(node, &Message::Placed(placed), from).await;
+            }
+        }
+        Message::Placed(ref placed) => node.exchange.answer(placed.id, message),
+        Message::Outcome(outcome) => planner::learn(node, &outcome),
     }
 }
 
 impl Exchange {
-    fn answer(&self, grant: Grant) {
+    fn answer(&self, answered: u32, message: Message) {
         let mut state = self.state.lock();
-        let place = state.asked.iter().position(|(id, _)| *id == grant.id);
+        let place = state.asked.iter().position(|(id, _)| *id == answered);
         let Some(index) = place else {
             return;
         };
         let (_, asker) = state.asked.swap_remove(index);
         drop(state);
         // Whoever asked may have given up.
-        asker.send(grant).ok();
+        asker.send(message).ok();
     }
 
-    fn register(&self) -> (u32, oneshot::Receiver<Grant>) {
+    fn register(&self) -> (u32, oneshot::Receiver<Message>) {
         let (sender, receiver) = oneshot::channel();
         let mut state = self.state.lock();
         state.asked.retain(|(_, asker)| !asker.is_closed());
@@ -296,13 +297,28 @@
     }
 }
 
-/// Asks the owner of a limit and waits for its answer, which may never come.
-pub async fn ask<P: Protocol>(node: &Node<P>, owner: SocketAddr, ask: Ask) -> Option<Grant> {
+/// Asks another instance and waits for its answer, which may never come; the question is given
+/// the id under which it is answered.
+pub async fn ask<P: Protocol>(
+    node: &Node<P>,
+    to: SocketAddr,
+    question: impl FnOnce(u32) -> Message,
+) -> Option<Message> {
     let (id, answer) = node.exchange.register();
-    send(node, &Message::Ask(Ask { id, ..ask }), owner).await;
+    send(node, &question(id), to).await;
     answer.await.ok()
 }
 
+/// Tells another instance something that it may miss.
+pub fn tell_at_once<P: Protocol>(node: &Node<P>, message: &Message, to: SocketAddr) {
+    let Some(bytes) = message.encode() else {
+        return;
+    };
+    if let Err(error) = node.exchange.socket.try_send_to(&bytes, to) {
+        emit!(debug, event::PEER_FAULT, peer = %to, reason = %error);
+    }
+}
+
 fn millis(value: u32) -> Duration {
     Duration::from_millis(u64::from(value))
 }
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -27,6 +27,10 @@
 /// that is cut off from the table may go on serving for as long.
 const COUNTED_HORIZON: Duration = Duration::from_secs(60);
 
+/// Least bandwidth of the link of an instance that serves the others, in megabits a second, if any
+/// has as much: a change of the configuration goes to all others at once.
+const WIDE_LINK_MBPS: u32 = 100;
+
 /// What an instance tells of itself.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -67,6 +71,11 @@
     pub fn is_leaving(&self) -> bool {
         self.leaving || self.row.leaving
     }
+
+    /// Whether its link is wide enough to serve the other instances.
+    pub fn is_wide(&self) -> bool {
+        self.row.link_mbps >= WIDE_LINK_MBPS
+    }
 }
 
 /// All instances that this one has heard of.
--- a/crates/router/src/lane.rs
+++ b/crates/router/src/lane.rs
@@ -1,9 +1,15 @@
 //! Short urgent requests of this instance that run, by service.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use parking_lot::Mutex;
-use policy::lane::Level;
+use policy::lane::{
+    Level,
+    Load, //
+};
 use state::clock;
 
 /// Running short urgent requests, by service.
@@ -15,33 +21,38 @@
     levels: Mutex<Vec<(Arc<str>, Level)>>,
 }
 
-/// One running request; dropping it ends the count.
+/// One running request, which is counted when it is dropped.
 #[derive(Debug)]
 pub struct Slot {
     table: Arc<Table>,
     service: Arc<str>,
+    since: Duration,
+    /// Length of its prompt.
+    blocks: f32,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = clock::now();
-        self.table.with(&self.service, |level| level.leave(now));
+        let ran = now.saturating_sub(self.since);
+        self.table
+            .with(&self.service, |level| level.ended(now, ran, self.blocks));
     }
 }
 
 impl Table {
-    /// Counts a request until the slot is dropped.
-    pub fn enter(self: &Arc<Self>, service: &Arc<str>) -> Slot {
-        let now = clock::now();
-        self.with(service, |level| level.enter(now));
+    /// Counts a request for `blocks` of prompt for as long as it holds the slot.
+    pub fn enter(self: &Arc<Self>, service: &Arc<str>, blocks: f32) -> Slot {
         Slot {
             table: self.clone(),
             service: service.clone(),
+            since: clock::now(),
+            blocks,
         }
     }
 
-    /// How many run on average.
-    pub fn average(&self, service: &Arc<str>) -> f32 {
+    /// What they ask of engines on average.
+    pub fn average(&self, service: &Arc<str>) -> Load {
         let now = clock::now();
         self.with(service, |level| level.average(now))
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peer;
 pub mod plain;
 pub mod plane;
+pub mod planner;
 pub mod protocol;
 pub mod quota;
 pub mod refusal;
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -3,10 +3,13 @@
 //! The codec is postcard: datagrams come without a connection, so that remote
 //! procedure calls do not fit. All of them may be lost, repeated or late.
 
+use std::net::SocketAddr;
+
 use serde::{
     Deserialize,
     Serialize, //
 };
+use settings::Class;
 
 use crate::{
     mirror::{
@@ -19,7 +22,7 @@
 /// Largest datagram, in bytes; larger changes are fetched over a connection.
 pub const MAX_BYTES: usize = 8 << 10;
 /// First bytes of each datagram, which change with its layout.
-const MAGIC: [u8; 4] = *b"dmk1";
+const MAGIC: [u8; 4] = *b"dmk2";
 
 /// One datagram.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +38,86 @@
     Ask(Ask),
     /// The owner's answer.
     Grant(Grant),
+    /// An instance asks the planner where to send a request.
+    Place(Place),
+    /// The planner's answer.
+    Placed(Placed),
+    /// An instance tells the planner what became of a request that it placed.
+    Outcome(Outcome),
+}
+
+/// An instance asks the planner of a service where to send a request.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Place {
+    /// Identifies the question.
+    pub id: u32,
+    /// Name of the service.
+    pub service: String,
+    /// The model that is to answer.
+    pub model: Option<String>,
+    /// Urgency.
+    pub class: Class,
+    /// Time to the first event within which the answer is worth its whole price, in milliseconds.
+    pub objective_ms: u32,
+    /// Hashes of the whole blocks of the prompt, shallowest first.
+    pub levels: Vec<u64>,
+    /// Length of what follows the last whole block, in blocks.
+    pub tail: f32,
+    /// Names of the endpoints that have failed the request.
+    pub tried: Vec<String>,
+}
+
+/// The planner's answer.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Placed {
+    /// Identifies the question.
+    pub id: u32,
+    /// Name of the endpoint; `None` if the planner knows of none.
+    pub endpoint: Option<String>,
+    /// Another engine, or a store, that may have more of the prompt.
+    pub source: Option<SocketAddr>,
+    /// A store that is to keep the prompt's prefix too.
+    pub save_to: Option<SocketAddr>,
+    /// What the planner expected there.
+    pub reasons: Reasons,
+}
+
+/// Why an endpoint was decided on, in blocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Reasons {
+    /// Blocks of the prompt that are expected to be cached there.
+    pub hits: f32,
+    /// Blocks that are expected to be computed there for the request.
+    pub missed: f32,
+    /// Blocks that are expected to be computed there before.
+    pub wait: f32,
+}
+
+/// What became of a request that the planner placed.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Outcome {
+    /// Name of the endpoint.
+    pub endpoint: String,
+    /// What it did with the request.
+    pub end: End,
+    /// Levels that it does not cache after all.
+    pub levels: Vec<u64>,
+}
+
+/// What an endpoint did with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum End {
+    /// It began to answer.
+    Began,
+    /// It could not be used, or broke off.
+    Failed,
+    /// It had no room, or other weights.
+    Refused,
 }
 
 /// An instance asks the owner of a workspace's limit for units.
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -38,7 +38,8 @@
     exchange,
     message::{
         Ask,
-        Grant, //
+        Grant,
+        Message, //
     },
     node::Node,
     protocol::Protocol, //
@@ -253,8 +254,10 @@
     };
     let silent = node.quotas.with(workspace, now, |entry| entry.silent_until);
     if silent <= now {
-        let answer = exchange::ask(node, owner, ask.clone());
-        if let Ok(Some(grant)) = tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+        let question = |id| Message::Ask(Ask { id, ..ask.clone() });
+        let answer = exchange::ask(node, owner, question);
+        if let Ok(Some(Message::Grant(grant))) = tokio::time::timeout(ANSWER_TIMEOUT, answer).await
+        {
             return granted(&grant);
         }
         emit!(
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -148,7 +148,7 @@
         let begun = attempts.send(node, call, *last_event).await?;
         let Begun { chosen, answer, .. } = begun;
         if !answer.head.status.is_success() {
-            match plain::whole(call, &chosen, answer).await {
+            match plain::whole(node, call, &chosen, answer).await {
                 Ok((head, body)) => return Ok(Opened::Error(head, body)),
                 Err(failure) => attempts.broke_off(node, call, &chosen, failure),
             }
@@ -161,7 +161,7 @@
             };
             match running.next(last_event, call.time_left()).await {
                 Ok(Some(first)) => {
-                    running.chosen.began();
+                    running.chosen.began(node);
                     if call.class() == Class::Urgent {
                         let after = call.arrived.elapsed();
                         node.began(&call.service, after, call.route.objective);
@@ -269,6 +269,20 @@
                 "stream_broken"
             }
         };
+        if outcome != "stream_broken" {
+            emit!(
+                info,
+                event::REQUEST_SERVED,
+                request = self.call.ask.id.to_str().unwrap_or_default(),
+                route = &*self.call.route.name,
+                workspace = self.call.workspace.as_ref().map(|w| &*w.name),
+                endpoint = &*self.running.chosen.endpoint.registration.name,
+                version = self.running.chosen.version,
+                outcome,
+                first_ms = millis(first_event),
+                age_ms = millis(self.call.arrived.elapsed()),
+            );
+        }
         self.node.metrics.record(Sample {
             workspace: self.call.workspace.as_ref().map_or("", |w| &w.name),
             class: &self.call.route.name,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -86,6 +86,12 @@
     ENDPOINT_UNREADABLE = 403;
     /// A stream goes on at another endpoint.
     STREAM_RESUMED = 404;
+    /// The instance that places long requests gave no answer; this one chooses alone for a while.
+    PLANNER_SILENT = 405;
+    /// A request is sent to an endpoint; what was expected there is counted in blocks of its prompt.
+    REQUEST_PLACED = 406;
+    /// An answer of an endpoint was passed on to its end, or until its caller left.
+    REQUEST_SERVED = 407;
     /// The outcome of a request that may run once could not be written; replays hear that it may have run.
     CLAIM_UNSETTLED = 420;
     /// The table gave no answer about token rights; they end with their term if this lasts.
