The planner counts what has not begun, and puts off what would begin late

Each placed request now has a ticket whose end is told; before more than three quarters of the objective of waiting work a request is put off with when to come back.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -48,8 +48,8 @@
     pub work: f32,
     /// The newest load report.
     pub report: Report,
-    /// Work that this instance has placed there for all instances.
-    pub placed: Backlog,
+    /// Work at its link, if it is a store.
+    pub link: Backlog,
     /// Tokens that were given to it.
     pub inflow: Inflow,
     /// Failures in a row.
@@ -63,7 +63,7 @@
             horizon: START_HORIZON,
             work: 1.0,
             report: Report::default(),
-            placed: Backlog::default(),
+            link: Backlog::default(),
             inflow: Inflow::default(),
             breaker: Breaker::default(),
         }
--- a/crates/policy/src/shed.rs
+++ b/crates/policy/src/shed.rs
@@ -1,4 +1,5 @@
-//! Which part of the less urgent requests to refuse while urgent ones begin late.
+//! Which requests to refuse: a part of the less urgent ones while urgent ones begin late, and those
+//! before which too much waits.
 
 use std::time::Duration;
 
@@ -45,3 +46,18 @@
         (-idle.max(0.0) / MEMORY.as_secs_f64()).exp()
     }
 }
+
+/// Part of its objective for which a request may wait for those before it. Beyond that it would
+/// begin late, and all that come after it too.
+const MAX_WAIT_PART: f64 = 0.75;
+/// By how much longer than the wait itself a refused caller stays away at most.
+const SPREAD: f64 = 1.0;
+
+/// When to come back, for a request before which `wait` of work is placed; `None` if it may wait.
+///
+/// `dice` from 0 to 1 spreads those who come back over the time that the work takes.
+pub fn come_back(wait: Duration, objective: Duration, dice: f64) -> Option<Duration> {
+    let longest = objective.mul_f64(MAX_WAIT_PART);
+    let beyond = wait.checked_sub(longest)?;
+    Some((beyond + longest / 2).mul_f64(1.0 + SPREAD * dice))
+}
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -111,7 +111,8 @@
             if call.time_left() < MIN_TIME_LEFT {
                 return Err(self.out_of_time());
             }
-            let chosen = match choose::choose(node, call, &self.tried).await {
+            let must_go = last_event.is_some() || self.verdict != Verdict::NotRun;
+            let chosen = match choose::choose(node, call, &self.tried, must_go).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return Err(self.refuse(refusal)),
             };
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -23,7 +23,11 @@
     fleet::Endpoint,
     message::End,
     node::Node,
-    planner,
+    planner::{
+        self,
+        Placement,
+        Ticket, //
+    },
     protocol::Protocol,
     refusal::{
         Reason,
@@ -61,30 +65,38 @@
     known: Arc<health::Endpoint>,
     holder: Holder,
     levels: Vec<u64>,
-    /// The instance that placed the request there, if another one did.
-    planner: Option<SocketAddr>,
+    /// Tells the planner that placed the request what becomes of it.
+    ticket: Option<Ticket>,
 }
 
 /// Picks an endpoint of the call's service that is not in `tried`.
 ///
 /// # Errors
 ///
-/// If no endpoint can take it.
+/// If no endpoint can take it, or if it would wait too long and need not go on.
 pub async fn choose<P: Protocol>(
     node: &Node<P>,
     call: &Call,
     tried: &[Arc<str>],
+    must_go: bool,
 ) -> Result<Chosen, Refusal> {
     let chain = call.chain();
     let query = Query::new(call, &chain, tried);
     let is_short = query.is_short();
     let tail = chain.tail;
-    let mut planner = None;
-    let mut decision = None;
+    let mut placement = Placement::Unknown;
     if query.engine().is_some() && !is_short {
-        (planner, decision) = planner::place(node, &query).await;
+        placement = planner::place(node, &query, must_go).await;
     }
-    let Some(decision) = decision.or_else(|| decide(node, &query, Scope::Own)) else {
+    let (decision, ticket) = match placement {
+        Placement::At(decision, ticket) => (Some(decision), Some(ticket)),
+        Placement::Later(wait) => {
+            let message = "so much work waits that the answer would begin late; come back later";
+            return Err(Refusal::not_run(Reason::Overloaded, message).retry_after(wait));
+        }
+        Placement::Unknown => (decide(node, &query, Scope::Own), None),
+    };
+    let Some(decision) = decision else {
         let message = format!("service {} has no endpoint to try", call.service);
         let refusal = Refusal::not_run(Reason::NoEndpoint, message);
         return Err(refusal.retry_after(NO_ENDPOINT_RETRY));
@@ -105,7 +117,7 @@
         endpoint = &*endpoint.registration.name,
         service = &*call.service,
         version = endpoint.version(),
-        planner = planner.map(|planner| planner.to_string()),
+        planned = ticket.is_some(),
         hits = reasons.hits,
         missed = reasons.missed,
         wait = reasons.wait,
@@ -127,16 +139,16 @@
         holder,
         known,
         levels: chain.levels,
-        planner,
+        ticket,
     })
 }
 
 impl Chosen {
     /// Learns from the first byte or event of the answer.
-    pub fn began<P: Protocol>(&self, node: &Node<P>) {
+    pub fn began(&self) {
         self.known.learn(|estimate| estimate.breaker.succeeded());
         self.slot.began();
-        self.tell(node, End::Began);
+        self.tell(End::Began);
     }
 
     /// Learns that the endpoint could not be used, or broke off.
@@ -144,7 +156,7 @@
         let now = node.beliefs.now();
         node.beliefs.lower(&self.levels, self.holder);
         self.known.learn(|estimate| estimate.breaker.failed(now));
-        self.tell(node, End::Failed);
+        self.tell(End::Failed);
     }
 
     /// Learns that the endpoint serves other weights than it was asked for.
@@ -152,18 +164,18 @@
         let now = node.beliefs.now();
         node.beliefs.lower(&self.levels, self.holder);
         self.known.refused(&version_text(self.version), now);
-        self.tell(node, End::Refused);
+        self.tell(End::Refused);
     }
 
     /// Learns that the endpoint had no room; nothing was cached.
     pub fn was_busy<P: Protocol>(&self, node: &Node<P>) {
         node.beliefs.lower(&self.levels, self.holder);
-        self.tell(node, End::Refused);
+        self.tell(End::Refused);
     }
 
-    fn tell<P: Protocol>(&self, node: &Node<P>, end: End) {
-        if let Some(planner) = self.planner {
-            planner::tell(node, planner, &self.endpoint, end, &self.levels);
+    fn tell(&self, end: End) {
+        if let Some(ticket) = &self.ticket {
+            ticket.tell(end, &self.levels);
         }
     }
 }
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -347,7 +347,11 @@
             } else {
                 count.ahead(class) + count.running() as f32 * RUNNING_BLOCKS
             },
-            reported: e.view.estimate.placed.left(request.now, BLOCK_SECONDS),
+            reported: if request.is_sole {
+                node.planner.queues.left(e.known.hash)
+            } else {
+                0.0
+            },
             block_seconds: BLOCK_SECONDS,
             horizon: if request.is_sole {
                 inflow.horizon(request.now, capacity)
--- a/crates/router/src/choose/keep.rs
+++ b/crates/router/src/choose/keep.rs
@@ -30,8 +30,6 @@
 const LIKELY: f32 = 0.5;
 /// Transfers between failure domains take so many times as long.
 const FAR: f32 = 2.0;
-/// Work at a link is counted in seconds.
-const LINK_PACE: f32 = 1.0;
 
 /// What the store near an endpoint is believed to have of a prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -58,7 +56,7 @@
     /// Time until its link is free, in seconds.
     fn wait(&self, now: Millis) -> f32 {
         let estimate = self.known.view("", now).estimate;
-        estimate.placed.left(now, LINK_PACE)
+        estimate.link.left(now)
     }
 
     /// Counts a transfer of `blocks` to or from `endpoint`.
@@ -72,7 +70,7 @@
         let seconds = times * megabits / (self.of.link_mbps as f32).max(1.0);
         let now = node.beliefs.now();
         self.known
-            .learn(|estimate| estimate.placed.place(now, LINK_PACE, seconds));
+            .learn(|estimate| estimate.link.place(now, seconds));
     }
 }
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -106,7 +106,8 @@
 /// What this instance has heard of the others, and how it tells them.
 #[derive(Debug)]
 pub struct Exchange {
-    socket: UdpSocket,
+    /// Where datagrams come and go.
+    pub socket: Arc<UdpSocket>,
     state: Mutex<State>,
     /// Wakes whoever waits for the hubs to fall silent.
     pub uncovered: Notify,
@@ -128,7 +129,7 @@
             format!("listen.exchange: cannot listen at {address}; choose a free address")
         })?;
         Ok(Self {
-            socket,
+            socket: Arc::new(socket),
             state: Mutex::default(),
             uncovered: Notify::new(),
         })
@@ -309,12 +310,12 @@
     answer.await.ok()
 }
 
-/// Tells another instance something that it may miss.
-pub fn tell_at_once<P: Protocol>(node: &Node<P>, message: &Message, to: SocketAddr) {
+/// Sends without waiting; the message is lost if the socket has no room.
+pub fn post(socket: &UdpSocket, message: &Message, to: SocketAddr) {
     let Some(bytes) = message.encode() else {
         return;
     };
-    if let Err(error) = node.exchange.socket.try_send_to(&bytes, to) {
+    if let Err(error) = socket.try_send_to(&bytes, to) {
         emit!(debug, event::PEER_FAULT, peer = %to, reason = %error);
     }
 }
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -66,6 +66,8 @@
     pub tail: f32,
     /// Names of the endpoints that have failed the request.
     pub tried: Vec<String>,
+    /// Whether it must not be put off: it may have run, or part of its answer was given.
+    pub must_go: bool,
 }
 
 /// The planner's answer.
@@ -74,8 +76,10 @@
 pub struct Placed {
     /// Identifies the question.
     pub id: u32,
-    /// Name of the endpoint; `None` if the planner knows of none.
-    pub endpoint: Option<String>,
+    /// Where the request goes, or why nowhere.
+    pub to: Destination,
+    /// Identifies the request from now on.
+    pub ticket: u64,
     /// Another engine, or a store, that may have more of the prompt.
     pub source: Option<SocketAddr>,
     /// A store that is to keep the prompt's prefix too.
@@ -84,6 +88,19 @@
     pub reasons: Reasons,
 }
 
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Destination {
+    /// To the endpoint with this name.
+    Endpoint(String),
+    /// Nowhere now; so much work waits at all endpoints that it is to come back after these
+    /// milliseconds.
+    Later(u32),
+    /// The planner knows of no endpoint.
+    None,
+}
+
 /// Why an endpoint was decided on, in blocks.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -102,13 +119,15 @@
 pub struct Outcome {
     /// Name of the endpoint.
     pub endpoint: String,
-    /// What it did with the request.
+    /// Identifies the request.
+    pub ticket: u64,
+    /// What became of the request there.
     pub end: End,
     /// Levels that it does not cache after all.
     pub levels: Vec<u64>,
 }
 
-/// What an endpoint did with a request.
+/// What became of a request at an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum End {
@@ -118,6 +137,8 @@
     Failed,
     /// It had no room, or other weights.
     Refused,
+    /// Its caller left, or it ended otherwise.
+    Left,
 }
 
 /// An instance asks the owner of a workspace's limit for units.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -134,8 +134,8 @@
     pub peers: Client,
     /// What this instance may spend of each workspace's limit.
     pub quotas: Arc<quota::Table>,
-    /// Whether the instance that places long requests answers.
-    pub planner: planner::Silence,
+    /// Placing long requests, here or at another instance.
+    pub planner: planner::State,
     /// The lease for orders to engines.
     pub lease: Lease,
     /// The row of the lease, as it was first seen in its last revision.
@@ -185,7 +185,7 @@
             exchange: Exchange::bind(config.listen.exchange)?,
             peers: Client::new(peer::ANSWER_TIMEOUT),
             quotas: Arc::default(),
-            planner: planner::Silence::default(),
+            planner: planner::State::default(),
             lease: Lease::default(),
             lease_row: Mutex::default(),
             rollout: Notify::new(),
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -47,7 +47,7 @@
     loop {
         let begun = attempts.send(node, &call, None).await?;
         let Begun { chosen, answer, .. } = begun;
-        match whole(node, &call, &chosen, answer).await {
+        match whole(&call, &chosen, answer).await {
             Ok((head, body)) => {
                 let retry = head.status.is_server_error() && call.is_repeatable();
                 if !retry || !attempts.retry_error(node, &call, &chosen, &head) {
@@ -69,15 +69,14 @@
 /// # Errors
 ///
 /// If it does not arrive whole and in time.
-pub async fn whole<P: Protocol>(
-    node: &Node<P>,
+pub async fn whole(
     call: &Call,
     chosen: &Chosen,
     answer: Answer,
 ) -> Result<(Parts, Bytes), endpoint::Failure> {
     let result = answer.collect(MAX_ANSWER_BYTES, call.time_left()).await;
     if result.is_ok() {
-        chosen.began(node);
+        chosen.began();
     }
     result
 }
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -9,12 +9,20 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    },
     time::Duration, //
 };
 
 use parking_lot::Mutex;
 use policy::{
+    backlog::Queue,
+    belief::Millis,
     prefix::{
         BLOCK_TOKENS,
         Chain, //
@@ -22,13 +30,15 @@
     rank::{
         self,
         Candidate, //
-    }, //
+    },
+    shed, //
 };
 use state::clock;
 use telemetry::{
     emit,
     event, //
 };
+use tokio::net::UdpSocket;
 
 use crate::{
     choose::decide::{
@@ -39,13 +49,14 @@
         Scope, //
     },
     exchange,
-    fleet::Endpoint,
     message::{
+        Destination,
         End,
         Message,
         Outcome,
         Place,
-        Placed, //
+        Placed,
+        Reasons, //
     },
     node::Node,
     protocol::Protocol, //
@@ -58,9 +69,17 @@
 /// Time for which a planner that gave no answer is not asked again.
 const SILENT_PAUSE: Duration = Duration::from_millis(700);
 
+/// Placing long requests, here or at another instance.
+#[derive(Debug, Default)]
+pub struct State {
+    silence: Silence,
+    /// What waits at each engine, where this instance places the requests of all.
+    pub queues: Arc<Queues>,
+}
+
 /// Answers of the planner that are missing.
 #[derive(Debug, Default)]
-pub struct Silence(Mutex<Missing>);
+struct Silence(Mutex<Missing>);
 
 #[derive(Debug, Default)]
 struct Missing {
@@ -90,6 +109,103 @@
     }
 }
 
+/// Requests that were placed and have not begun, by engine.
+#[derive(Debug, Default)]
+pub struct Queues {
+    /// # Invariants
+    ///
+    /// Sorted by the hash of the engine's name.
+    queues: Mutex<Vec<(u64, Queue)>>,
+}
+
+impl Queues {
+    /// Blocks that wait at an engine.
+    pub fn left(&self, engine: u64) -> f32 {
+        self.with(engine, |queue, now| queue.left(now, BLOCK_SECONDS))
+    }
+
+    fn place(&self, engine: u64, ticket: u64, blocks: f32) {
+        self.with(engine, |queue, now| queue.place(now, ticket, blocks));
+    }
+
+    fn remove(&self, engine: u64, ticket: u64) {
+        self.with(engine, |queue, now| queue.remove(now, ticket));
+    }
+
+    fn with<T>(&self, engine: u64, change: impl FnOnce(&mut Queue, Millis) -> T) -> T {
+        let now = u64::try_from(clock::now().as_millis()).unwrap_or(Millis::MAX);
+        let mut queues = self.queues.lock();
+        let index = match queues.binary_search_by_key(&engine, |(engine, _)| *engine) {
+            Ok(index) => index,
+            Err(index) => {
+                queues.insert(index, (engine, Queue::default()));
+                index
+            }
+        };
+        change(&mut queues[index].1, now)
+    }
+}
+
+/// A request that was placed; dropping it tells the planner that the request has ended, unless it
+/// was told what became of it.
+#[derive(Debug)]
+pub struct Ticket {
+    id: u64,
+    endpoint: Arc<str>,
+    home: Home,
+    told: AtomicBool,
+}
+
+/// Whom to tell.
+#[derive(Debug)]
+enum Home {
+    /// This instance, which keeps the queue of the engine with this hash.
+    Own(Arc<Queues>, u64),
+    /// The planner at this address.
+    Other(Arc<UdpSocket>, SocketAddr),
+}
+
+impl Ticket {
+    /// Tells the planner what became of the request; `levels` are those of its prompt.
+    pub fn tell(&self, end: End, levels: &[u64]) {
+        self.told.store(true, Ordering::Relaxed);
+        match &self.home {
+            Home::Own(queues, engine) => queues.remove(*engine, self.id),
+            Home::Other(socket, planner) => {
+                let outcome = Outcome {
+                    endpoint: self.endpoint.to_string(),
+                    ticket: self.id,
+                    end,
+                    levels: match end {
+                        End::Began | End::Left => Vec::new(),
+                        End::Failed | End::Refused => levels.to_vec(),
+                    },
+                };
+                exchange::post(socket, &Message::Outcome(outcome), *planner);
+            }
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.told.load(Ordering::Relaxed) {
+            self.tell(End::Left, &[]);
+        }
+    }
+}
+
+/// Where a long request goes.
+#[derive(Debug)]
+pub enum Placement {
+    /// To this endpoint.
+    At(Decision, Ticket),
+    /// Nowhere now; it is to come back after this time.
+    Later(Duration),
+    /// No planner tells.
+    Unknown,
+}
+
 /// Who places the requests of a service.
 enum Planner {
     /// This instance.
@@ -98,18 +214,24 @@
     Other(SocketAddr),
 }
 
-/// Where a long request goes, if a planner tells, and the planner if it is another instance.
-pub async fn place<P: Protocol>(
-    node: &Node<P>,
-    query: &Query<'_>,
-) -> (Option<SocketAddr>, Option<Decision>) {
+/// Asks where a long request goes; one that must go on is not put off.
+pub async fn place<P: Protocol>(node: &Node<P>, query: &Query<'_>, must_go: bool) -> Placement {
     match planner(node, query.service) {
-        Some(Planner::Own) => (None, plan(node, query)),
-        Some(Planner::Other(address)) => match ask(node, query, address).await {
-            Some(decision) => (Some(address), Some(decision)),
-            None => (None, None),
+        Some(Planner::Own) => match plan(node, query, must_go) {
+            Plan::At(decision, id) => {
+                let ticket = Ticket {
+                    id,
+                    endpoint: decision.endpoint.registration.name.clone(),
+                    home: Home::Own(node.planner.queues.clone(), decision.known.hash),
+                    told: AtomicBool::new(false),
+                };
+                Placement::At(decision, ticket)
+            }
+            Plan::Later(wait) => Placement::Later(wait),
+            Plan::None => Placement::Unknown,
         },
-        None => (None, None),
+        Some(Planner::Other(address)) => ask(node, query, address, must_go).await,
+        None => Placement::Unknown,
     }
 }
 
@@ -134,35 +256,51 @@
     })
 }
 
+/// What the planner decides.
+enum Plan {
+    /// The endpoint, and the ticket of the request.
+    At(Decision, u64),
+    Later(Duration),
+    None,
+}
+
 /// Decides for any instance, and counts the work that it places.
-fn plan<P: Protocol>(node: &Node<P>, query: &Query<'_>) -> Option<Decision> {
-    let decision = decide::decide(node, query, Scope::All)?;
-    let now = node.beliefs.now();
+fn plan<P: Protocol>(node: &Node<P>, query: &Query<'_>, must_go: bool) -> Plan {
+    let Some(decision) = decide::decide(node, query, Scope::All) else {
+        return Plan::None;
+    };
+    let wait = Duration::from_secs_f32(decision.reasons.wait * BLOCK_SECONDS);
+    let later = shed::come_back(wait, query.objective, rand::random());
+    if let Some(later) = later.filter(|_| !must_go) {
+        return Plan::Later(later);
+    }
+    let ticket = rand::random();
+    let queues = &node.planner.queues;
+    queues.place(decision.known.hash, ticket, decision.reasons.missed);
     let given = decision.given * BLOCK_TOKENS as f32;
-    decision.known.learn(|estimate| {
-        estimate
-            .placed
-            .place(now, BLOCK_SECONDS, decision.reasons.missed);
-        estimate.inflow.add(now, given);
-    });
-    Some(decision)
+    let now = node.beliefs.now();
+    decision
+        .known
+        .learn(|estimate| estimate.inflow.add(now, given));
+    Plan::At(decision, ticket)
 }
 
 async fn ask<P: Protocol>(
     node: &Node<P>,
     query: &Query<'_>,
     planner: SocketAddr,
-) -> Option<Decision> {
-    if node.planner.lasts(clock::now()) {
-        return None;
+    must_go: bool,
+) -> Placement {
+    if node.planner.silence.lasts(clock::now()) {
+        return Placement::Unknown;
     }
-    let question = |id| Message::Place(question(query, id));
+    let question = |id| Message::Place(question(query, id, must_go));
     let answer = exchange::ask(node, planner, question);
     if let Ok(Some(Message::Placed(placed))) = tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
-        node.planner.heard();
-        return adopt(node, query, placed);
+        node.planner.silence.heard();
+        return adopt(node, query, planner, placed);
     }
-    if node.planner.missed(clock::now()) {
+    if node.planner.silence.missed(clock::now()) {
         emit!(
             info,
             event::PLANNER_SILENT,
@@ -170,10 +308,10 @@
             planner = %planner,
         );
     }
-    None
+    Placement::Unknown
 }
 
-fn question(query: &Query<'_>, id: u32) -> Place {
+fn question(query: &Query<'_>, id: u32, must_go: bool) -> Place {
     let objective = query.objective.as_millis();
     Place {
         id,
@@ -184,22 +322,41 @@
         levels: query.chain.levels.clone(),
         tail: query.chain.tail,
         tried: query.tried.iter().map(|name| name.to_string()).collect(),
+        must_go,
     }
 }
 
-/// The planner's decision, if this instance may send the request there by what it knows itself.
-fn adopt<P: Protocol>(node: &Node<P>, query: &Query<'_>, placed: Placed) -> Option<Decision> {
-    let name = placed.endpoint?;
+/// Does what the planner decided, if this instance may send the request there by what it knows
+/// itself.
+fn adopt<P: Protocol>(
+    node: &Node<P>,
+    query: &Query<'_>,
+    planner: SocketAddr,
+    placed: Placed,
+) -> Placement {
+    let name: Arc<str> = match placed.to {
+        Destination::Endpoint(name) => name.into(),
+        Destination::Later(wait_ms) => {
+            return Placement::Later(Duration::from_millis(u64::from(wait_ms)));
+        }
+        Destination::None => return Placement::Unknown,
+    };
+    let ticket = Ticket {
+        id: placed.ticket,
+        endpoint: name.clone(),
+        home: Home::Other(node.exchange.socket.clone(), planner),
+        told: AtomicBool::new(false),
+    };
     let fleet = node.endpoints.fleet();
     let mut of_service = fleet.of_service(query.service).iter();
-    let endpoint = of_service.find(|e| *e.registration.name == *name)?;
+    let endpoint = of_service.find(|e| e.registration.name == name);
     let wanted = query.model.and_then(|model| node.wanted(model));
     let now = node.beliefs.now();
-    let eligible = decide::admit(node, query, wanted.as_ref(), endpoint, now)?;
-    if eligible.endpoint.is_loading() {
-        return None;
-    }
-    Some(Decision {
+    let admitted = endpoint.and_then(|e| decide::admit(node, query, wanted.as_ref(), e, now));
+    let Some(eligible) = admitted.filter(|eligible| !eligible.endpoint.is_loading()) else {
+        return Placement::Unknown;
+    };
+    let decision = Decision {
         endpoint: eligible.endpoint,
         known: eligible.known,
         holder: eligible.view.holder,
@@ -207,7 +364,8 @@
         save_to: placed.save_to,
         reasons: placed.reasons,
         given: 0.0,
-    })
+    };
+    Placement::At(decision, ticket)
 }
 
 /// Answers an instance that asks where a request goes.
@@ -228,39 +386,34 @@
         chain: &chain,
         tried: &tried,
     };
-    let decision = plan(node, &query);
-    if let Some(decision) = &decision {
-        let now = node.beliefs.now();
-        decision.known.learn(|estimate| estimate.breaker.sent(now));
-        node.beliefs.raise(&chain.levels, decision.holder);
-    }
-    let decision = decision.as_ref();
-    Some(Placed {
+    let nowhere = |to| Placed {
         id: place.id,
-        endpoint: decision.map(|d| d.endpoint.registration.name.to_string()),
-        source: decision.and_then(|d| d.source),
-        save_to: decision.and_then(|d| d.save_to),
-        reasons: decision.map(|d| d.reasons).unwrap_or_default(),
-    })
-}
-
-/// Tells the planner what became of a request that it placed.
-pub fn tell<P: Protocol>(
-    node: &Node<P>,
-    planner: SocketAddr,
-    endpoint: &Endpoint,
-    end: End,
-    levels: &[u64],
-) {
-    let outcome = Outcome {
-        endpoint: endpoint.registration.name.to_string(),
-        end,
-        levels: match end {
-            End::Began => Vec::new(),
-            End::Failed | End::Refused => levels.to_vec(),
-        },
+        to,
+        ticket: 0,
+        source: None,
+        save_to: None,
+        reasons: Reasons::default(),
+    };
+    let (decision, ticket) = match plan(node, &query, place.must_go) {
+        Plan::At(decision, ticket) => (decision, ticket),
+        Plan::Later(wait) => {
+            let wait = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+            return Some(nowhere(Destination::Later(wait)));
+        }
+        Plan::None => return Some(nowhere(Destination::None)),
     };
-    exchange::tell_at_once(node, &Message::Outcome(outcome), planner);
+    let now = node.beliefs.now();
+    decision.known.learn(|estimate| estimate.breaker.sent(now));
+    node.beliefs.raise(&chain.levels, decision.holder);
+    Some(Placed {
+        ticket,
+        source: decision.source,
+        save_to: decision.save_to,
+        reasons: decision.reasons,
+        ..nowhere(Destination::Endpoint(
+            decision.endpoint.registration.name.to_string(),
+        ))
+    })
 }
 
 /// Learns what became of a request that this instance placed for another.
@@ -268,12 +421,13 @@
     let Some(known) = node.health.find(&outcome.endpoint) else {
         return;
     };
+    node.planner.queues.remove(known.hash, outcome.ticket);
     let (_, holder) = known.incarnation();
     node.beliefs.lower(&outcome.levels, holder);
     let now = node.beliefs.now();
     match outcome.end {
         End::Began => known.learn(|estimate| estimate.breaker.succeeded()),
         End::Failed => known.learn(|estimate| estimate.breaker.failed(now)),
-        End::Refused => {}
+        End::Refused | End::Left => {}
     }
 }
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -148,7 +148,7 @@
         let begun = attempts.send(node, call, *last_event).await?;
         let Begun { chosen, answer, .. } = begun;
         if !answer.head.status.is_success() {
-            match plain::whole(node, call, &chosen, answer).await {
+            match plain::whole(call, &chosen, answer).await {
                 Ok((head, body)) => return Ok(Opened::Error(head, body)),
                 Err(failure) => attempts.broke_off(node, call, &chosen, failure),
             }
@@ -161,7 +161,7 @@
             };
             match running.next(last_event, call.time_left()).await {
                 Ok(Some(first)) => {
-                    running.chosen.began(node);
+                    running.chosen.began();
                     if call.class() == Class::Urgent {
                         let after = call.arrived.elapsed();
                         node.began(&call.service, after, call.route.objective);
