--- a/crates/policy/src/shed.rs
+++ b/crates/policy/src/shed.rs
@@ -47,17 +47,25 @@
     }
 }
 
-/// Part of its objective for which a request may wait for those before it. Beyond that it would
-/// begin late, and all that come after it too.
-const MAX_WAIT_PART: f64 = 0.75;
+/// Part of its objective within which a request is to begin, by what is known of the work.
+const BEGIN_PART: f64 = 0.9;
+/// Part of its objective for which a request may wait however long it takes by itself.
+const LEAST_WAIT_PART: f64 = 0.25;
 /// By how much longer than the wait itself a refused caller stays away at most.
 const SPREAD: f64 = 1.0;
 
-/// When to come back, for a request before which `wait` of work is placed; `None` if it may wait.
+/// When to come back, for a request that takes `own` time to begin by itself and before which
+/// `wait` of work is placed; `None` if it may wait.
 ///
 /// `dice` from 0 to 1 spreads those who come back over the time that the work takes.
-pub fn come_back(wait: Duration, objective: Duration, dice: f64) -> Option<Duration> {
-    let longest = objective.mul_f64(MAX_WAIT_PART);
+pub fn come_back(
+    wait: Duration,
+    own: Duration,
+    objective: Duration,
+    dice: f64,
+) -> Option<Duration> {
+    let least = objective.mul_f64(LEAST_WAIT_PART);
+    let longest = objective.mul_f64(BEGIN_PART).saturating_sub(own).max(least);
     let beyond = wait.checked_sub(longest)?;
-    Some((beyond + longest / 2).mul_f64(1.0 + SPREAD * dice))
+    Some((beyond + least).mul_f64(1.0 + SPREAD * dice))
 }
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -66,6 +66,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Answers missing in a row after which the planner is left alone: one datagram may be lost.
 const MAX_MISSES: u32 = 2;
+/// Time from the end of a prompt's computation to the first event, on an engine that does little
+/// else.
+const FIRST_TOKEN_TIME: Duration = Duration::from_millis(120);
 /// Time for which a planner that gave no answer is not asked again.
 const SILENT_PAUSE: Duration = Duration::from_millis(700);
 
@@ -269,8 +272,10 @@
     let Some(decision) = decide::decide(node, query, Scope::All) else {
         return Plan::None;
     };
-    let wait = Duration::from_secs_f32(decision.reasons.wait * BLOCK_SECONDS);
-    let later = shed::come_back(wait, query.objective, rand::random());
+    let time = |blocks: f32| Duration::from_secs_f32(blocks * BLOCK_SECONDS);
+    let own = FIRST_TOKEN_TIME + time(decision.reasons.missed);
+    let wait = time(decision.reasons.wait);
+    let later = shed::come_back(wait, own, query.objective, rand::random());
     if let Some(later) = later.filter(|_| !must_go) {
         return Plan::Later(later);
     }
