--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -1,8 +1,23 @@
 //! Which engines to order to load new weights.
 
+use std::time::Duration;
+
 /// Engines that may load at the same time; the weight store is slower for more.
 pub const MAX_LOADING: usize = 3;
 
+/// Time for which an engine that failed to load once is left alone; it doubles with each failure.
+const FAILED_PAUSE: Duration = Duration::from_secs(2);
+/// Longest time for which an engine that failed to load is left alone.
+const MAX_FAILED_PAUSE: Duration = Duration::from_secs(8);
+
+/// How long an engine that failed to load `failures` times in a row is left alone.
+pub fn failed_pause(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(8);
+    FAILED_PAUSE
+        .saturating_mul(1 << doublings)
+        .min(MAX_FAILED_PAUSE)
+}
+
 /// What an engine does with its weights.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Weights {
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -2,6 +2,7 @@
 
 use policy::rollout::{
     Weights,
+    failed_pause,
     most_loading,
     pick_within, //
 };
@@ -29,3 +30,12 @@
     let engines = [Weights::Loading, Weights::Other, Weights::Other];
     assert_eq!(pick_within(&engines, 1, 18), Vec::<usize>::new());
 }
+
+/// Pattern: a quarter of the engines is silent for a long time; each try holds a place of those
+/// that load.
+#[test]
+fn engines_that_fail_are_tried_less_and_less() {
+    let pauses: Vec<u64> = (1..6).map(|n| failed_pause(n).as_secs()).collect();
+    assert_eq!(pauses, [2, 4, 8, 8, 8]);
+    assert_eq!(failed_pause(u32::MAX).as_secs(), 8);
+}
--- a/crates/router/src/rollout.rs
+++ b/crates/router/src/rollout.rs
@@ -25,6 +25,7 @@
 };
 use policy::rollout::{
     Weights,
+    failed_pause,
     most_loading,
     pick_within, //
 };
@@ -69,8 +70,6 @@
 const IDLE_INTERVAL: Duration = Duration::from_secs(5);
 /// By how much later each further instance tries to take the lease, so that not all do.
 const TURN: Duration = Duration::from_millis(300);
-/// Time for which an engine that did not load is left alone.
-const FAILED_PAUSE: Duration = Duration::from_secs(2);
 
 /// How far the engines of one model have come.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -122,6 +121,16 @@
     is_ending: Arc<AtomicBool>,
 }
 
+/// An engine that did not load when it was last tried.
+#[derive(Debug)]
+struct Failing {
+    engine: Arc<str>,
+    /// Loads in a row that failed.
+    failures: u32,
+    /// When it may be tried again.
+    until: Instant,
+}
+
 /// What the holder of the lease has under way.
 struct Work<P, W> {
     node: Arc<Node<P>>,
@@ -130,8 +139,8 @@
     tasks: JoinSet<Ended>,
     loading: Vec<Loading>,
     pace: Arc<Pace>,
-    /// Engines that did not load, each with when to try again.
-    resting: Vec<(Arc<str>, Instant)>,
+    /// Engines that did not load when they were last tried.
+    failing: Vec<Failing>,
     renewed: Option<Instant>,
     /// Since when there has been something to do.
     busy_since: Option<Instant>,
@@ -149,7 +158,7 @@
         tasks: JoinSet::new(),
         loading: Vec::new(),
         pace: Arc::new(Pace::new(most_loading(0), START_LOAD_TIME)),
-        resting: Vec::new(),
+        failing: Vec::new(),
         renewed: None,
         busy_since: None,
         published: Vec::new(),
@@ -177,11 +186,27 @@
         let name = endpoint.registration.name.clone();
         self.loading
             .retain(|l| l.endpoint.registration.name != name);
+        let known = self.failing.iter().position(|f| f.engine == name);
+        let known = known.map(|index| self.failing.swap_remove(index));
         if !loaded {
-            self.resting.push((name, Instant::now() + FAILED_PAUSE));
+            let failures = known.map_or(0, |f| f.failures).saturating_add(1);
+            self.failing.push(Failing {
+                engine: name,
+                failures,
+                until: Instant::now() + failed_pause(failures),
+            });
         }
     }
 
+    /// Loads of the engine that failed in a row, if it was tried.
+    fn failures(&self, engine: &Endpoint) -> u32 {
+        let name = &engine.registration.name;
+        let mut failing = self.failing.iter();
+        failing
+            .find(|f| f.engine == *name)
+            .map_or(0, |f| f.failures)
+    }
+
     async fn step(&mut self) {
         if self.node.is_stopping() {
             if let Err(fault) = self.keeper.release(&self.node.lease).await {
@@ -201,8 +226,6 @@
         if !self.hold_lease(since).await {
             return;
         }
-        let now = Instant::now();
-        self.resting.retain(|(_, until)| *until > now);
         for wanted in self.node.wanted.load().iter() {
             self.order(wanted);
         }
@@ -259,8 +282,8 @@
         let mut engines = engines(&self.node, &wanted.model);
         let turn = rand::random::<u32>() as usize % engines.len().max(1);
         engines.rotate_left(turn);
-        // The oldest weights run out first.
-        engines.sort_by_key(|engine| engine.version());
+        // The oldest weights run out first, but engines that do not answer hold up no others.
+        engines.sort_by_key(|engine| (self.failures(engine), engine.version()));
         let weights: Vec<Weights> = engines.iter().map(|e| self.weights(e, wanted)).collect();
         let most = most_loading(engines.len());
         let picked = pick_within(&weights, self.under_way(), most);
@@ -309,7 +332,11 @@
         {
             return Weights::Loading;
         }
-        let rests = self.resting.iter().any(|(resting, _)| resting == name);
+        let now = Instant::now();
+        let rests = self
+            .failing
+            .iter()
+            .any(|f| f.engine == *name && f.until > now);
         if engine.version() >= wanted.version || rests {
             return Weights::Wanted;
         }
