--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -22,10 +22,15 @@
 /// kept for them; the tokens of their answers take as much again.
 const BUSY: f32 = 0.4;
 
+/// Time over which a burst is noticed: some tens of requests.
+const BURST_MEMORY: Duration = Duration::from_millis(600);
+
 /// Short urgent requests of late.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Level {
     load: Load,
+    /// Blocks of prompt that were asked for in a second, over a shorter time.
+    burst: f32,
     at: Duration,
 }
 
@@ -34,7 +39,7 @@
 pub struct Load {
     /// Requests that run at a time.
     pub running: f32,
-    /// Blocks of prompt that are computed in a second.
+    /// Blocks of prompt that are asked for in a second.
     pub blocks: f32,
 }
 
@@ -49,19 +54,34 @@
 }
 
 impl Level {
-    /// A request for `blocks` of prompt has ended that ran for `time`.
-    pub fn ended(&mut self, now: Duration, time: Duration, blocks: f32) {
-        let window = MEMORY.as_secs_f32();
-        self.load = self.average(now);
-        self.load.running += time.min(MAX_COUNTED).as_secs_f32() / window;
-        self.load.blocks += blocks / window;
-        self.at = now.max(self.at);
+    /// A request for `blocks` of prompt has come.
+    pub fn came(&mut self, now: Duration, blocks: f32) {
+        self.fade(now);
+        self.load.blocks += blocks / MEMORY.as_secs_f32();
+        self.burst += blocks / BURST_MEMORY.as_secs_f32();
+    }
+
+    /// A request has ended that ran for `time`.
+    pub fn ended(&mut self, now: Duration, time: Duration) {
+        self.fade(now);
+        self.load.running += time.min(MAX_COUNTED).as_secs_f32() / MEMORY.as_secs_f32();
     }
 
-    /// The load of late.
+    /// The load of late: a burst counts at once, and for as long as other load.
     pub fn average(&self, now: Duration) -> Load {
+        let mut level = *self;
+        level.fade(now);
+        Load {
+            blocks: level.load.blocks.max(level.burst),
+            ..level.load
+        }
+    }
+
+    fn fade(&mut self, now: Duration) {
         let age = now.saturating_sub(self.at).as_secs_f32();
-        self.load.times((-age / MEMORY.as_secs_f32()).exp())
+        self.load = self.load.times((-age / MEMORY.as_secs_f32()).exp());
+        self.burst *= (-age / BURST_MEMORY.as_secs_f32()).exp();
+        self.at = now.max(self.at);
     }
 }
 
--- a/crates/router/src/lane.rs
+++ b/crates/router/src/lane.rs
@@ -27,8 +27,6 @@
     table: Arc<Table>,
     service: Arc<str>,
     since: Duration,
-    /// Length of its prompt.
-    blocks: f32,
 }
 
 impl Drop for Slot {
@@ -36,18 +34,19 @@
         let now = clock::now();
         let ran = now.saturating_sub(self.since);
         self.table
-            .with(&self.service, |level| level.ended(now, ran, self.blocks));
+            .with(&self.service, |level| level.ended(now, ran));
     }
 }
 
 impl Table {
     /// Counts a request for `blocks` of prompt for as long as it holds the slot.
     pub fn enter(self: &Arc<Self>, service: &Arc<str>, blocks: f32) -> Slot {
+        let now = clock::now();
+        self.with(service, |level| level.came(now, blocks));
         Slot {
             table: self.clone(),
             service: service.clone(),
-            since: clock::now(),
-            blocks,
+            since: now,
         }
     }
 
