--- a/crates/policy/src/shed.rs
+++ b/crates/policy/src/shed.rs
@@ -50,7 +50,7 @@
 /// Part of its objective within which a request is to begin, by what is known of the work.
 const BEGIN_PART: f64 = 0.9;
 /// Part of its objective for which a request may wait however long it takes by itself.
-const LEAST_WAIT_PART: f64 = 0.25;
+const LEAST_WAIT_PART: f64 = 0.3;
 /// By how much longer than the wait itself a refused caller stays away at most.
 const SPREAD: f64 = 1.0;
 
--- a/crates/policy/tests/shed.rs
+++ b/crates/policy/tests/shed.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use policy::shed::Lateness;
+use policy::shed::{
+    Lateness,
+    come_back, //
+};
 
 const OBJECTIVE: Duration = Duration::from_secs(1);
 
@@ -43,3 +46,23 @@
     assert!(part > 0.0);
     assert_eq!(lateness.refused_part(now + Duration::from_secs(3)), 0.0);
 }
+
+/// Pattern: more long prompts than the engines compute. Those that can begin in time are taken, the
+/// others come back once what waits is done, not all at once.
+#[test]
+fn what_would_begin_late_is_put_off_for_as_long_as_the_work_takes() {
+    let millis = Duration::from_millis;
+    let later = |wait, own| come_back(millis(wait), millis(own), OBJECTIVE, 0.0);
+    assert_eq!(later(0, 400), None);
+    assert_eq!(later(450, 400), None);
+    assert!(later(600, 400).is_some());
+    // One that takes longer than the objective by itself waits a little all the same.
+    assert_eq!(later(250, 3_000), None);
+    let (soon, late) = (later(600, 400).unwrap(), later(2_000, 400).unwrap());
+    assert!(
+        soon < millis(600) && late > millis(1_400),
+        "{soon:?} {late:?}"
+    );
+    let spread = come_back(millis(2_000), millis(400), OBJECTIVE, 0.9).unwrap();
+    assert!(spread > late.mul_f64(1.5));
+}
