From a complaint to its cause: explain, decision lines, counters, logs that never wait

One line for each placement with what was expected, one for each answer passed on; refusals name who decided on the limit. Lines go through a bounded queue: a reader that stands still costs lines, counted in the next one, and no time; routine lines leave room for warnings. Counters of attempts, table calls, prompt blocks, waits, pauses; states at the time of the scrape. damaskctl explain joins the logs of all instances.

--- a/crates/damaskctl/src/args.rs
+++ b/crates/damaskctl/src/args.rs
@@ -94,6 +94,7 @@
         most: Option<u64>,
     },
     Schema,
+    Explain(String, Option<PathBuf>),
     Give {
         path: Path,
         workspace: String,
@@ -110,6 +111,15 @@
     Help(String),
     /// Print the schema, which needs no instance.
     Schema,
+    /// Print a request's way from logs, which needs no instance.
+    Explain {
+        /// The request.
+        id: String,
+        /// File or directory; standard input if there is none.
+        source: Option<PathBuf>,
+        /// Print JSON.
+        json: bool,
+    },
     /// Run a command.
     Remote(Target, Command),
 }
@@ -138,6 +148,10 @@
         if command == Command::Schema {
             return Ok(Self::Schema);
         }
+        if let Command::Explain(id, source) = command {
+            let json = low.has(flag::JSON);
+            return Ok(Self::Explain { id, source, json });
+        }
         Ok(Self::Remote(low.target()?, command))
     }
 }
@@ -229,6 +243,10 @@
                 most: self.value(flag::MOST)?,
             },
             Kind::SettingsSchema => Command::Schema,
+            Kind::Explain => {
+                let source = self.operand(spec, 1).map(PathBuf::from);
+                Command::Explain(prefix, source)
+            }
             Kind::KeyGive => self.give(spec)?,
             Kind::KeyWithdraw => Command::Withdraw(self.path(spec)?),
             Kind::KeyList => Command::Keys(prefix),
--- a/crates/damaskctl/src/main.rs
+++ b/crates/damaskctl/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod directory;
 mod exit;
+mod explain;
 mod flag;
 mod fleet;
 mod key;
@@ -38,6 +39,7 @@
             Ok(())
         }
         Args::Schema => settings_command::schema(),
+        Args::Explain { id, source, json } => explain::run(&id, source.as_deref(), json),
         Args::Remote(target, command) => run(&target, command).await,
     };
     match result {
@@ -61,7 +63,8 @@
         Command::Diff(scope) => settings_command::diff(target, &scope).await,
         Command::Apply(scope, write) => settings_command::apply(target, &scope, &write).await,
         Command::History { last, most } => settings_command::history(target, last, most).await,
-        Command::Schema => settings_command::schema(),
+        // Both need no instance.
+        Command::Schema | Command::Explain(..) => Ok(()),
         Command::Give {
             path,
             workspace,
--- a/crates/damaskctl/src/spec.rs
+++ b/crates/damaskctl/src/spec.rs
@@ -14,6 +14,7 @@
     Which,
     Status,
     Drain,
+    Explain,
     SettingsGet,
     SettingsList,
     SettingsSet,
@@ -69,6 +70,16 @@
         doc: "Begin the planned stop of the instance; no request is cut.\n\
               The process ends by itself when its running requests have ended.",
     },
+    Spec {
+        kind: Kind::Explain,
+        words: &["explain"],
+        operands: &["ID", "[LOGS]"],
+        flags: &[],
+        doc: "Show a request's way across the instances, from their logs.\n\
+              LOGS is a file, or a directory with one file an instance; standard input if it\n\
+              is left out. Lines marked with a dot are about the request's endpoint, workspace\n\
+              or instance at that time. Asks no instance.",
+    },
     Spec {
         kind: Kind::SettingsGet,
         words: &["settings", "get"],
--- a/crates/damaskctl/tests/cli.rs
+++ b/crates/damaskctl/tests/cli.rs
@@ -513,6 +513,7 @@
           which                       Which instances a caller should use.
           status                      Instances, endpoints, and the revision in force at each.
           drain                       Begin the planned stop of the instance; no request is cut.
+          explain ID [LOGS]           Show a request's way across the instances, from their logs.
           settings get PATH           Print one document.
           settings list [PATH]        List the paths, those below PATH only if one is given.
           settings set PATH FILE      Write the document in FILE, or on standard input for "-".
--- a/crates/damaskd/src/caller/mod.rs
+++ b/crates/damaskd/src/caller/mod.rs
@@ -113,7 +113,7 @@
 
     fn refuse(&self, call: &Call, refusal: &Refusal) -> Response<Body> {
         emit!(
-            info,
+            warn,
             event::REQUEST_REFUSED,
             request = call.id,
             code = refusal.code.as_str(),
--- a/crates/damaskd/src/caller/relay.rs
+++ b/crates/damaskd/src/caller/relay.rs
@@ -82,7 +82,7 @@
         Ok(false) => "caller_left",
         Err(refusal) => {
             emit!(
-                info,
+                warn,
                 event::REQUEST_REFUSED,
                 request = call.id,
                 code = refusal.code.as_str(),
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -192,12 +192,14 @@
     let units = call.units(workspace);
     let urgent = call.class() == Class::Urgent;
     let charged = quota::charge(node, workspace, units, urgent).await;
-    charged.map_err(|wait| {
+    charged.map_err(|exceeded| {
         let (rate, burst) = workspace.limit.map_or((0, 0), |l| (l.rate, l.burst));
+        let (name, by) = (&workspace.name, exceeded.by);
         let message = format!(
-            "workspace {} has used its {rate} units a second and its burst of {burst}",
-            workspace.name
+            "workspace {name} has used its {rate} units a second and its burst of {burst}, \
+             as decided by {by}; the request takes {units}"
         );
-        Refusal::not_run(Reason::RateExceeded, message).retry_after(wait)
+        let refusal = Refusal::not_run(Reason::RateExceeded, message);
+        refusal.retry_after(exceeded.wait).of_workspace(name)
     })
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -119,6 +119,7 @@
             self.count(node, call);
             match self.attempt(node, call, &chosen, last_event).await {
                 Ok((answer, reply)) => {
+                    self.record(node, call, "answered");
                     return Ok(Begun {
                         chosen,
                         answer,
@@ -133,6 +134,11 @@
         }
     }
 
+    fn record<P: Protocol>(&self, node: &Node<P>, call: &Call, outcome: &'static str) {
+        let is_repeat = self.sends > 1;
+        node.metrics.attempted(&call.service, is_repeat, outcome);
+    }
+
     fn count<P: Protocol>(&mut self, node: &Node<P>, call: &Call) {
         if self.sends == 0 {
             node.attempted(&call.service);
@@ -218,9 +224,10 @@
         chosen: &Chosen,
         failure: Failure,
     ) {
+        self.record(node, call, failure.verdict.as_str());
         let name = &chosen.endpoint.registration.name;
         emit!(
-            info,
+            warn,
             event::ENDPOINT_FAULT,
             request = call.ask.id.to_str().unwrap_or_default(),
             endpoint = &**name,
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -37,6 +37,7 @@
     stream::millis, //
 };
 use decide::{
+    BLOCK_SECONDS,
     Decision,
     Query,
     Scope,
@@ -126,6 +127,9 @@
         catalog = call.catalog.version,
         age_ms = millis(call.arrived.elapsed()),
     );
+    let wait = Duration::from_secs_f32(reasons.wait * BLOCK_SECONDS);
+    node.metrics
+        .placed(&call.service, reasons.hits, reasons.missed, wait);
     let now = node.beliefs.now();
     known.learn(|estimate| estimate.breaker.sent(now));
     node.beliefs.raise(&chain.levels, holder);
--- /dev/null
+++ b/crates/router/src/counted.rs
@@ -0,0 +1,79 @@
+//! Counts the calls to the platform's table, which are limited and priced.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use platform::{
+    http::Fault,
+    table::{
+        Changes,
+        Outcome,
+        Range,
+        Row,
+        Table,
+        Txn,
+        Watch,
+        WatchFault, //
+    }, //
+};
+use telemetry::metrics::Metrics;
+
+/// A table whose calls are counted.
+#[derive(Clone, Debug)]
+pub struct Counted<T> {
+    table: T,
+    metrics: Arc<Metrics>,
+}
+
+impl<T> Counted<T> {
+    /// Counts the calls to `table`.
+    pub fn new(table: T, metrics: Arc<Metrics>) -> Self {
+        Self { table, metrics }
+    }
+
+    fn count<A>(&self, call: &'static str, answer: Result<A, Fault>) -> Result<A, Fault> {
+        let outcome = match &answer {
+            Ok(_) => "ok",
+            Err(Fault::Refused { .. }) => "refused",
+            Err(Fault::NotSent { .. }) => "not_sent",
+            Err(_) => "lost",
+        };
+        self.metrics.called_table(call, outcome);
+        answer
+    }
+}
+
+impl<T: Table> Table for Counted<T> {
+    async fn range(&self, prefix: &str) -> Result<Range, Fault> {
+        self.count("range", self.table.range(prefix).await)
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Row>, Fault> {
+        self.count("get", self.table.get(key).await)
+    }
+
+    async fn transact(&self, txn: Txn) -> Result<Outcome, Fault> {
+        self.count("transact", self.table.transact(txn).await)
+    }
+}
+
+impl<T: Watch> Watch for Counted<T> {
+    async fn changes(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Changes, WatchFault> {
+        let answer = self.table.changes(prefix, after, wait).await;
+        match answer {
+            Err(WatchFault::Fault(fault)) => Ok(self.count("changes", Err(fault))?),
+            Err(compacted) => {
+                self.metrics.called_table("changes", "compacted");
+                Err(compacted)
+            }
+            Ok(changes) => Ok(self.count("changes", Ok(changes))?),
+        }
+    }
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     config::Config,
+    counted::Counted,
     exchange,
     http::{
         self,
@@ -64,8 +65,9 @@
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut reload = signal(SignalKind::hangup())?;
-        let table = table(config.table);
-        let daemon = Daemon::<P>::start(config, &table)?;
+        let node = Arc::new(Node::<P>::new(config)?);
+        let table = Counted::new(table(node.config.table), node.metrics.clone());
+        let daemon = Daemon::start(node, &table)?;
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
@@ -87,8 +89,7 @@
 }
 
 impl<P: Protocol> Daemon<P> {
-    fn start<W: Watch>(config: Config, table: &W) -> anyhow::Result<Self> {
-        let node = Arc::new(Node::<P>::new(config)?);
+    fn start<W: Watch>(node: Arc<Node<P>>, table: &W) -> anyhow::Result<Self> {
         let listen = node.config.listen;
         let (stop, stopped) = watch::channel(false);
         let (others, never) = watch::channel(false);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod choose;
 pub mod config;
+pub mod counted;
 pub mod daemon;
 pub mod directory;
 pub mod endpoints;
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -12,6 +12,10 @@
     Response,
     response::Parts, //
 };
+use telemetry::{
+    emit,
+    event, //
+};
 
 use crate::{
     admit::{
@@ -27,7 +31,8 @@
     node::Node,
     protocol::Protocol,
     refusal::Refusal,
-    request::Call, //
+    request::Call,
+    stream::millis, //
 };
 
 /// Largest answer that is held until it is whole, in bytes.
@@ -51,6 +56,17 @@
             Ok((head, body)) => {
                 let retry = head.status.is_server_error() && call.is_repeatable();
                 if !retry || !attempts.retry_error(node, &call, &chosen, &head) {
+                    emit!(
+                        info,
+                        event::REQUEST_SERVED,
+                        request = call.ask.id.to_str().unwrap_or_default(),
+                        route = &*call.route.name,
+                        workspace = call.workspace.as_ref().map(|w| &*w.name),
+                        endpoint = &*chosen.endpoint.registration.name,
+                        status = head.status.as_u16(),
+                        objective_ms = millis(call.route.objective),
+                        age_ms = millis(call.arrived.elapsed()),
+                    );
                     return Ok(respond::<P>(&head, body));
                 }
             }
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -108,14 +108,16 @@
         arrived: Instant,
     ) -> Response<Body> {
         emit!(
-            info,
+            warn,
             event::REQUEST_REFUSED,
             request = id.and_then(|id| id.to_str().ok()).unwrap_or_default(),
             code = refusal.reason.as_str(),
             status = refusal.status().as_u16(),
             verdict = refusal.verdict.as_str(),
             reason = refusal.message,
+            workspace = refusal.workspace.as_deref(),
             catalog = self.0.catalog.load().as_ref().map_or(0, |c| c.version),
+            retry_after_ms = refusal.retry_after.map(millis),
             age_ms = millis(arrived.elapsed()),
         );
         self.0.metrics.record(Sample {
@@ -201,6 +203,7 @@
         if request.uri().path() != "/metrics" {
             return status(StatusCode::NOT_FOUND);
         }
+        self.0.record_states();
         match self.0.metrics.render() {
             Ok(text) => Response::new(Body::whole(text)),
             Err(error) => {
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -7,6 +7,7 @@
 //! the limit.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -196,17 +197,47 @@
     }
 }
 
+/// The limit of a workspace is used up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Exceeded {
+    /// When to come back.
+    pub wait: Duration,
+    /// Who said so.
+    pub by: By,
+}
+
+/// Who decided on units of a limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum By {
+    /// This instance, which owns the limit.
+    Own,
+    /// The owner at this address.
+    Owner(SocketAddr),
+    /// This instance, for its even part, since the owner at this address is silent.
+    EvenPart(SocketAddr),
+}
+
+impl fmt::Display for By {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            By::Own => f.write_str("this instance"),
+            By::Owner(owner) => write!(f, "its owner {owner}"),
+            By::EvenPart(owner) => write!(f, "this instance, whose owner {owner} is silent"),
+        }
+    }
+}
+
 /// Takes `units` of what `workspace` may spend.
 ///
 /// # Errors
 ///
-/// The time after which to come back, if the limit is used up.
+/// If the limit is used up.
 pub async fn charge<P: Protocol>(
     node: &Node<P>,
     workspace: &Workspace,
     units: u64,
     urgent: bool,
-) -> Result<Option<Charge>, Duration> {
+) -> Result<Option<Charge>, Exceeded> {
     let Some(limit) = workspace.limit else {
         return Ok(None);
     };
@@ -246,11 +277,13 @@
     limit: Limit,
     ask: Ask,
     now: Duration,
-) -> Result<f64, Duration> {
+) -> Result<f64, Exceeded> {
+    let exceeded = |by| move |wait| Exceeded { wait, by };
     let Some(owner) = owner(node, workspace, now) else {
         let share = whole(node, limit);
         let since = node.members.stable_since(now);
-        return node.quotas.take_owned(workspace, share, &ask, since, now);
+        let taken = node.quotas.take_owned(workspace, share, &ask, since, now);
+        return taken.map_err(exceeded(By::Own));
     };
     let silent = node.quotas.with(workspace, now, |entry| entry.silent_until);
     if silent <= now {
@@ -258,7 +291,7 @@
         let answer = exchange::ask(node, owner, question);
         if let Ok(Some(Message::Grant(grant))) = tokio::time::timeout(ANSWER_TIMEOUT, answer).await
         {
-            return granted(&grant);
+            return granted(&grant).map_err(exceeded(By::Owner(owner)));
         }
         emit!(
             info,
@@ -273,7 +306,7 @@
     let (rate, burst) = (limit.rate as f64, limit.burst as f64);
     let share = Share::even(rate, burst, node.sharers());
     let taken = node.quotas.take_alone(workspace, share, &ask, clock::now());
-    taken.map(|()| 0.0)
+    taken.map(|()| 0.0).map_err(exceeded(By::EvenPart(owner)))
 }
 
 fn granted(grant: &Grant) -> Result<f64, Duration> {
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -1,6 +1,9 @@
 //! Answers of our own to requests that get none from an endpoint.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use endpoint::Verdict;
 use http::{
@@ -81,6 +84,8 @@
     pub message: String,
     /// When it makes sense to come back.
     pub retry_after: Option<Duration>,
+    /// Name of the workspace whose limit decided, if one did.
+    pub workspace: Option<Arc<str>>,
 }
 
 #[derive(Serialize)]
@@ -98,6 +103,7 @@
             verdict: Verdict::NotRun,
             message: message.into(),
             retry_after: None,
+            workspace: None,
         }
     }
 
@@ -107,6 +113,12 @@
         self
     }
 
+    /// Names the workspace whose limit decided.
+    pub fn of_workspace(mut self, name: &Arc<str>) -> Self {
+        self.workspace = Some(name.clone());
+        self
+    }
+
     /// Statuses that promise that the request has not run are given only where that is so.
     pub fn status(&self) -> StatusCode {
         let unrun = self.verdict == Verdict::NotRun;
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -7,7 +7,10 @@
 
 use std::{
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use bytes::{
@@ -71,6 +74,7 @@
     /// Id of the last event that was passed on.
     last_event: Option<u64>,
     running: Running,
+    longest_pause: Duration,
 }
 
 /// One endpoint's part of the stream.
@@ -118,6 +122,7 @@
         attempts,
         last_event,
         running,
+        longest_pause: Duration::ZERO,
     };
     tokio::spawn(source.feed(first, pieces));
     Ok(response)
@@ -254,7 +259,7 @@
             Ok(false) => "caller_left",
             Err(refusal) => {
                 emit!(
-                    info,
+                    warn,
                     event::REQUEST_REFUSED,
                     request = self.call.ask.id.to_str().unwrap_or_default(),
                     route = &*self.call.route.name,
@@ -280,9 +285,14 @@
                 version = self.running.chosen.version,
                 outcome,
                 first_ms = millis(first_event),
+                pause_ms = millis(self.longest_pause),
+                objective_ms = millis(self.call.route.objective),
                 age_ms = millis(self.call.arrived.elapsed()),
             );
         }
+        self.node
+            .metrics
+            .paused(&self.call.route.name, self.longest_pause);
         self.node.metrics.record(Sample {
             workspace: self.call.workspace.as_ref().map_or("", |w| &w.name),
             class: &self.call.route.name,
@@ -307,10 +317,12 @@
             if pieces.send(Ok(events)).await.is_err() {
                 return Ok(false);
             }
+            let since = Instant::now();
             let next = tokio::select! {
                 next = self.next() => next?,
                 () = pieces.closed() => return Ok(false),
             };
+            self.longest_pause = self.longest_pause.max(since.elapsed());
             let Some(next) = next else {
                 return Ok(true);
             };
@@ -339,6 +351,7 @@
             attempts,
             last_event,
             running,
+            ..
         } = self;
         attempts.broke_off(node, call, &running.chosen, failure);
         if !attempts.may_go_on(node, call) {
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,18 +1,15 @@
 //! Log output.
 
 use std::{
-    str::FromStr,
-    sync::LazyLock,
-    time::Instant, //
+    io,
+    str::FromStr, //
 };
 
 use thiserror::Error;
 use tracing::level_filters::LevelFilter;
+use tracing_appender::non_blocking::WorkerGuard;
 
-use crate::bounded::{
-    Bound,
-    Output, //
-};
+use crate::bounded::Lines;
 
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -86,15 +83,16 @@
 }
 
 /// Starts logging to standard output, one JSON object a line, with the lines of a second bounded.
-/// Later calls change nothing.
-pub fn start_on_stdout() {
-    static BOUND: LazyLock<Bound> = LazyLock::new(|| Bound::new(Instant::now()));
+/// Later calls change nothing. Lines are written until the guard is dropped.
+pub fn start_on_stdout() -> WorkerGuard {
+    let (lines, guard) = Lines::new(io::stdout());
     let builder = tracing_subscriber::fmt()
-        .with_writer(|| Output(&BOUND))
+        .with_writer(lines)
         .with_max_level(LevelFilter::INFO)
         .with_target(false)
         .json()
         .flatten_event(true);
     // Fails only if logging was started before, as in tests.
     builder.try_init().ok();
+    guard
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -10,6 +10,7 @@
     KeyValue,
     metrics::{
         Counter,
+        Gauge,
         Histogram,
         MeterProvider, //
     }, //
@@ -44,6 +45,12 @@
     queue: Histogram<f64>,
     total: Histogram<f64>,
     requests: Counter<u64>,
+    attempts: Counter<u64>,
+    blocks: Counter<f64>,
+    planned_wait: Histogram<f64>,
+    event_gap: Histogram<f64>,
+    table_calls: Counter<u64>,
+    states: Gauge<u64>,
     labels: Mutex<BTreeSet<String>>,
     // Keeps the instruments alive.
     _provider: SdkMeterProvider,
@@ -92,7 +99,31 @@
             first_token: seconds("damask_first_token", "arrival to first token or byte"),
             queue: seconds("damask_queue", "time in queues of this instance"),
             total: seconds("damask_total", "arrival to end of the answer"),
+            planned_wait: seconds(
+                "damask_planned_wait",
+                "work before a request when it was placed",
+            ),
+            event_gap: seconds(
+                "damask_event_gap",
+                "longest pause between events of one stream",
+            ),
             requests: meter.u64_counter("damask_requests").build(),
+            attempts: meter
+                .u64_counter("damask_attempts")
+                .with_description("requests sent to endpoints")
+                .build(),
+            blocks: meter
+                .f64_counter("damask_prompt_blocks")
+                .with_description("blocks of prompts, by what was expected when they were placed")
+                .build(),
+            table_calls: meter
+                .u64_counter("damask_table_calls")
+                .with_description("calls to the platform's table")
+                .build(),
+            states: meter
+                .u64_gauge("damask_state")
+                .with_description("what this instance believes")
+                .build(),
             labels: Mutex::new(BTreeSet::new()),
             exporter,
             _provider: provider,
@@ -119,6 +150,51 @@
         self.requests.add(1, &counted);
     }
 
+    /// Counts a request that was sent to an endpoint.
+    pub fn attempted(&self, service: &str, is_repeat: bool, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("repeat", is_repeat),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.attempts.add(1, &labels);
+    }
+
+    /// Counts the blocks of a prompt that was placed, and the work before it.
+    pub fn placed(&self, service: &str, hits: f32, missed: f32, wait: Duration) {
+        let label = KeyValue::new("service", service.to_owned());
+        let kinds = [("cached", hits), ("computed", missed)];
+        for (kind, blocks) in kinds {
+            let labels = [label.clone(), KeyValue::new("kind", kind)];
+            self.blocks.add(f64::from(blocks), &labels);
+        }
+        self.planned_wait.record(wait.as_secs_f64(), &[label]);
+    }
+
+    /// Records the longest pause between events of one stream.
+    pub fn paused(&self, route: &str, longest: Duration) {
+        let labels = [KeyValue::new("class", route.to_owned())];
+        self.event_gap.record(longest.as_secs_f64(), &labels);
+    }
+
+    /// Counts a call to the platform's table.
+    pub fn called_table(&self, call: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.table_calls.add(1, &labels);
+    }
+
+    /// Sets what this instance believes: the value of `name` for the thing `of`.
+    pub fn state(&self, name: &'static str, of: &str, value: u64) {
+        let labels = [
+            KeyValue::new("name", name),
+            KeyValue::new("of", of.to_owned()),
+        ];
+        self.states.record(value, &labels);
+    }
+
     /// Bounds the number of label values, whatever the number of workspaces.
     fn label(&self, workspace: &str) -> String {
         let Ok(mut labels) = self.labels.lock() else {
