--- a/crates/damaskd/src/operator/mod.rs
+++ b/crates/damaskd/src/operator/mod.rs
@@ -84,7 +84,7 @@
             (&Method::POST, "/operator/v1/withdrawals") => withdrawal::post(node, request).await,
             (&Method::POST, "/operator/v1/drain") => drain(node, &request),
             (method, path) => {
-                let message = format!("no operation {method} {path}; see docs/OPERATORS.md");
+                let message = format!("no operation {method} {path}; see docs/OPERATIONS.md");
                 Err(Refusal::new(StatusCode::NOT_FOUND, "not_found", message))
             }
         }
--- a/crates/damaskd/src/operator/settings.rs
+++ b/crates/damaskd/src/operator/settings.rs
@@ -221,7 +221,7 @@
     Refusal::new(StatusCode::BAD_REQUEST, "bad_request", message)
 }
 
-/// The answer to a write that was not accepted; docs/OPERATORS.md lists the codes.
+/// The answer to a write that was not accepted; docs/OPERATIONS.md lists the codes.
 pub fn refusal(error: Error) -> Refusal {
     let message = error.to_string();
     let (status, code) = match &error {
