--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod baseline;
 pub mod belief;
 pub mod breaker;
+pub mod cell;
 pub mod choice;
 pub mod fair;
 pub mod freshness;
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -15,6 +15,7 @@
         Holder,
         Millis, //
     },
+    cell,
     choice::{
         self,
         Candidate,
@@ -177,6 +178,9 @@
         eligible.retain(|e| !e.endpoint.is_loading());
     }
     keep_lane(node, query, &mut eligible);
+    if scope == Scope::All {
+        keep_cell(node, query, &mut eligible);
+    }
     let is_sole = scope == Scope::All;
     let request = Request {
         levels: &query.chain.levels,
@@ -258,6 +262,24 @@
     }
 }
 
+/// Leaves the engines of the cell that the prefix belongs to, if any of them can take the request.
+fn keep_cell<P: Protocol>(node: &Node<P>, query: &Query<'_>, eligible: &mut Vec<Eligible>) {
+    let (cell, count) = cell_of(node, query);
+    let is_of_cell = |e: &Eligible| cell::of(e.known.hash, count) == cell;
+    if count > 1 && eligible.iter().any(is_of_cell) {
+        eligible.retain(is_of_cell);
+    }
+}
+
+/// The cell that the prefix belongs to, and how many there are.
+pub fn cell_of<P: Protocol>(node: &Node<P>, query: &Query<'_>) -> (u64, u64) {
+    let count = cell::count(node.endpoints.fleet().of_service(query.service).len());
+    // Prompts without a prefix are spread by their length.
+    let tail = u64::from(query.chain.tail.to_bits());
+    let key = query.chain.levels.first().copied().unwrap_or(tail);
+    (cell::of(key, count), count)
+}
+
 fn eligible<P: Protocol>(node: &Node<P>, query: &Query<'_>, now: Millis) -> Vec<Eligible> {
     let fleet = node.endpoints.fleet();
     let wanted = query.model.and_then(|model| node.wanted(model));
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -219,7 +219,7 @@
 
 /// Asks where a long request goes; one that must go on is not put off.
 pub async fn place<P: Protocol>(node: &Node<P>, query: &Query<'_>, must_go: bool) -> Placement {
-    match planner(node, query.service) {
+    match planner(node, query) {
         Some(Planner::Own) => match plan(node, query, must_go) {
             Plan::At(decision, id) => {
                 let ticket = Ticket {
@@ -239,7 +239,9 @@
 }
 
 /// The instance that all agree on as far as they have heard of the same ones.
-fn planner<P: Protocol>(node: &Node<P>, service: &str) -> Option<Planner> {
+fn planner<P: Protocol>(node: &Node<P>, query: &Query<'_>) -> Option<Planner> {
+    let (cell, _) = decide::cell_of(node, query);
+    let subject = format!("{}/{cell}", query.service);
     node.members.with_heard(clock::now(), |members| {
         let any_wide = members.iter().any(|member| member.is_wide());
         let candidates: Vec<Candidate<'_>> = members
@@ -250,7 +252,7 @@
                 leaving: any_wide && !member.is_wide(),
             })
             .collect();
-        let first = members[rank::first(service, &candidates)?];
+        let first = members[rank::first(&subject, &candidates)?];
         Some(if *first.name == *node.config.name {
             Planner::Own
         } else {
