--- a/crates/testkit/src/cut.rs
+++ b/crates/testkit/src/cut.rs
@@ -1,7 +1,8 @@
 //! A TCP relay that stands between two processes and can cut them off from each other.
 //!
 //! A cut holds bytes back rather than closing connections, as a lossy network
-//! does: what was held arrives late when the cut ends.
+//! does: what was held arrives late when the cut ends. Connections may be closed
+//! too, as by a host that has forgotten them.
 
 use std::{
     net::{
@@ -45,6 +46,8 @@
     pub cut_clients: Vec<IpAddr>,
     /// Delays each piece, both ways.
     pub delay: Duration,
+    /// Closes connections, those that are open too.
+    pub closes: bool,
 }
 
 impl Mode {
@@ -145,11 +148,19 @@
     bytes: Arc<AtomicU64>,
 ) {
     while let Ok((client, from)) = listener.accept().await {
+        if modes.borrow().closes {
+            continue;
+        }
         let (modes, targets) = (modes.clone(), targets.clone());
         let bytes = Arc::clone(&bytes);
+        let mut closing = modes.clone();
         tokio::spawn(async move {
-            // A broken relay looks like a broken connection, which is what it is.
-            relay(client, from.ip(), modes, targets, &bytes).await.ok();
+            tokio::select! {
+                // A broken relay looks like a broken connection, which is what it is.
+                _ = relay(client, from.ip(), modes, targets, &bytes) => {}
+                // Fails only if the relay is gone.
+                _ = closing.wait_for(|mode| mode.closes) => {}
+            }
         });
     }
 }
