Callers are named the instances of their own failure domain, others each time

Cause: with more than 64 instances the last in order of names were named by nobody but themselves, and callers connected across failure domains.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -7,7 +7,8 @@
         Holder,
         Millis,
         Table, //
-    }, //
+    },
+    mix::mix, //
 };
 
 /// How endpoints are chosen; all but the default exist to be measured against.
@@ -407,11 +408,3 @@
         Strategy::LeastLoad | Strategy::Cost => baseline::least_load(&simple, seed),
     }
 }
-
-/// The finalizer of splitmix64.
-fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod keep;
 pub mod lane;
 pub mod load;
+mod mix;
+pub mod nearby;
 pub mod prefix;
 pub mod rank;
 pub mod repeat;
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use policy::nearby;
 use state::clock;
 
 use crate::{
@@ -21,15 +22,16 @@
 const KEEP: Duration = Duration::from_secs(2);
 
 /// Addresses of the instances that `caller` should use.
-pub fn addresses<P: Protocol>(node: &Node<P>, _caller: &Whereabouts) -> Vec<SocketAddr> {
-    let mut named = node.members.named(&node.config.name, clock::now());
-    named.retain(|member| *member.name != *node.config.name);
-    let mut addresses: Vec<SocketAddr> = named.iter().map(|member| member.row.callers).collect();
-    if node.is_ready() {
-        addresses.push(node.config.listen.callers);
-    }
-    addresses.truncate(MAX_ADDRESSES);
-    addresses
+pub fn addresses<P: Protocol>(node: &Node<P>, caller: &Whereabouts) -> Vec<SocketAddr> {
+    let config = &node.config;
+    let mut named = node.members.named(&config.name, clock::now());
+    named.retain(|member| *member.name != *config.name);
+    let others = named.iter().map(|m| (&*m.row.domain, m.row.callers));
+    let own = (&*config.domain, config.listen.callers);
+    let all: Vec<(&str, SocketAddr)> = others.chain(node.is_ready().then_some(own)).collect();
+    let domains: Vec<&str> = all.iter().map(|(domain, _)| *domain).collect();
+    let picked = nearby::pick(&domains, &caller.domain, MAX_ADDRESSES, rand::random());
+    picked.into_iter().map(|index| all[index].1).collect()
 }
 
 /// How long callers may keep an answer.
