--- a/crates/damaskd/src/caller/mod.rs
+++ b/crates/damaskd/src/caller/mod.rs
@@ -31,7 +31,8 @@
 use http::{
     Method,
     Request,
-    Response, //
+    Response,
+    header, //
 };
 use hyper::body::Incoming;
 use settings::{
@@ -98,9 +99,13 @@
         call: &Call,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Refusal> {
+        if request.headers().get_all(header::HOST).iter().count() != 1 {
+            let message = "send exactly one Host header, as RFC 9112 requires";
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/instances") => Ok(which::answer(&self.node, call, &request)),
-            (&Method::GET, "/v1/models") => Ok(which::models(call, &request)),
+            (&Method::GET, "/v1/models") => which::models(call, &request),
             (&Method::POST, "/v1/chat/completions") => {
                 model::answer(&self.node, call, Api::Chat, request).await
             }
--- a/crates/damaskd/src/caller/model.rs
+++ b/crates/damaskd/src/caller/model.rs
@@ -78,7 +78,10 @@
                     return Err(bad("field \"messages\" must be an array"));
                 };
                 messages_text(messages).ok_or_else(|| {
-                    bad("each message must have a \"role\" and a string as \"content\"")
+                    bad(
+                        "each message must have a \"role\", and as \"content\" a string or parts \
+                         of type \"text\"",
+                    )
                 })
             }
             Api::Text => {
@@ -196,6 +199,11 @@
     let Some(route) = call.snapshot().model_route(team, &model) else {
         return Err(no_route(team, &model));
     };
+    if text.is_empty() {
+        return Err(bad(
+            "the prompt is empty; send at least one message or text",
+        ));
+    }
     let workspace: Arc<str> = caller.map_or_else(|| "".into(), |caller| caller.workspace.clone());
     let version = call.snapshot().model(&model).map(|m| m.version.clone());
     let version = version.unwrap_or_default();
@@ -252,12 +260,28 @@
     for message in messages {
         text.push_str(message.get("role")?.as_str()?);
         text.push('\n');
-        text.push_str(message.get("content")?.as_str()?);
+        push_content(&mut text, message.get("content")?)?;
         text.push('\n');
     }
     Some(text)
 }
 
+/// A content is a text, or one or more parts that are texts.
+fn push_content(text: &mut String, content: &Value) -> Option<()> {
+    if let Some(whole) = content.as_str() {
+        text.push_str(whole);
+        return Some(());
+    }
+    let parts = content.as_array().filter(|parts| !parts.is_empty())?;
+    for part in parts {
+        if part.get("type")?.as_str()? != "text" {
+            return None;
+        }
+        text.push_str(part.get("text")?.as_str()?);
+    }
+    Some(())
+}
+
 /// Lower numbers run first, as in vLLM.
 fn priority(class: Class) -> i32 {
     match class {
--- a/crates/damaskd/src/caller/which.rs
+++ b/crates/damaskd/src/caller/which.rs
@@ -17,6 +17,8 @@
 
 use super::{
     Call,
+    Code,
+    Refusal,
     key, //
 };
 use crate::{
@@ -85,9 +87,17 @@
     members
 }
 
-/// Lists the models that the caller has routes for.
-pub fn models(call: &Call, request: &Request<Incoming>) -> Response<Body> {
-    let caller = key::identify(request.headers(), call.snapshot()).ok();
+/// Lists the models that the caller has routes for; callers without a key see those of open routes.
+///
+/// # Errors
+///
+/// If a key is shown that is unknown or withdrawn.
+pub fn models(call: &Call, request: &Request<Incoming>) -> Result<Response<Body>, Refusal> {
+    let caller = match key::identify(request.headers(), call.snapshot()) {
+        Ok(caller) => Some(caller),
+        Err(refusal) if refusal.code == Code::KeyMissing => None,
+        Err(refusal) => return Err(refusal),
+    };
     let team = caller.as_ref().map(|caller| &*caller.team);
     let mut names: Vec<&str> = Vec::new();
     for entry in call.snapshot().routes() {
@@ -104,5 +114,6 @@
         .into_iter()
         .map(|name| json!({"id": name, "object": "model"}))
         .collect();
-    answer_json(StatusCode::OK, &json!({"object": "list", "data": data}))
+    let list = json!({"object": "list", "data": data});
+    Ok(answer_json(StatusCode::OK, &list))
 }
--- a/crates/damaskd/tests/bad_input.rs
+++ b/crates/damaskd/tests/bad_input.rs
@@ -119,6 +119,37 @@
     assert_serves(&fleet).await;
 }
 
+/// Seen with a stock client of the published protocol and with raw sockets.
+#[tokio::test]
+async fn issue_11_stock_clients_are_answered_as_the_protocol_says() {
+    let fleet = fleet().await;
+    let address = fleet.caller(0).unwrap();
+    let parts = br#"{"model":"m","max_tokens":2,"messages":[{"role":"user","content":
+        [{"type":"text","text":"two "},{"type":"text","text":"parts"}]}]}"#;
+    let answer = exchange(address, &chat(parts)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    for body in [
+        &br#"{"model":"m","messages":[]}"#[..],
+        br#"{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}"#,
+    ] {
+        let answer = exchange(address, &chat(body)).await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    }
+    let models = |headers: &str| {
+        let head = format!("GET /v1/models HTTP/1.1\r\nconnection: close\r\n{headers}\r\n");
+        async move { exchange(address, head.as_bytes()).await }
+    };
+    let answer = models("host: x\r\nauthorization: Bearer no-such-key\r\n").await;
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    let answer = models("host: x\r\nhost: y\r\n").await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    let answer = models(&format!(
+        "host: x\r\nauthorization: Bearer {CALLER_KEY}\r\n"
+    ))
+    .await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 #[tokio::test]
 async fn issue_3_malformed_heads_get_an_error_or_a_closed_connection() {
     let fleet = fleet().await;
