--- a/crates/damaskd/src/caller/attempt.rs
+++ b/crates/damaskd/src/caller/attempt.rs
@@ -10,7 +10,8 @@
 
 use endpoint::{
     Failure,
-    Verdict, //
+    Verdict,
+    attempt::Record, //
 };
 use telemetry::{
     emit,
@@ -34,18 +35,11 @@
 /// Pause after which a caller whose deadline has passed may come back.
 const COME_BACK: Duration = Duration::from_secs(1);
 
-/// What became of the attempts so far.
-///
-/// # Invariants
-///
-/// `verdict` only ever rises: no later attempt can make an earlier one unsent.
+/// The attempts of one request.
 #[derive(Debug)]
 pub struct Attempts {
     id: String,
-    count: u32,
-    tried: Vec<Arc<str>>,
-    verdict: Verdict,
-    last: Option<Failure>,
+    record: Record,
     until: Instant,
 }
 
@@ -54,29 +48,24 @@
     pub fn new(call: &Call, deadline: Duration) -> Self {
         Self {
             id: call.id.clone(),
-            count: 0,
-            tried: Vec::new(),
-            verdict: Verdict::NotRun,
-            last: None,
+            record: Record::default(),
             until: call.arrived + deadline,
         }
     }
 
     /// Endpoints that failed the request.
     pub fn tried(&self) -> &[Arc<str>] {
-        &self.tried
+        self.record.tried()
     }
 
     /// Allows the endpoints that failed earlier to be chosen again, but for the last one.
     pub fn forgive(&mut self) {
-        let last = self.tried.pop();
-        self.tried.clear();
-        self.tried.extend(last);
+        self.record.forgive();
     }
 
     /// Allows every endpoint to be chosen again.
     pub fn forgive_all(&mut self) {
-        self.tried.clear();
+        self.record.forgive_all();
     }
 
     /// Sets a new end for all further attempts.
@@ -99,8 +88,7 @@
 
     /// Counts an attempt; its id is unlike that of any other attempt.
     pub fn begin(&mut self) -> String {
-        self.count += 1;
-        format!("{}.{}", self.id, self.count)
+        format!("{}.{}", self.id, self.record.begin())
     }
 
     /// Takes note of a failed attempt.
@@ -115,15 +103,13 @@
             reason = %failure.fault,
         );
         chosen.failed(node, &failure);
-        self.verdict = self.verdict.worst(failure.verdict);
-        self.tried.push(name.clone());
-        self.last = Some(failure);
+        self.record.failed(name, failure);
     }
 
     /// Whether another attempt may follow.
     pub fn may_go_on(&self, node: &Node, repeatable: bool) -> bool {
-        let harmless = repeatable || self.verdict == Verdict::NotRun;
-        let in_time = self.count < MAX_ATTEMPTS && !self.remaining().is_zero();
+        let harmless = repeatable || self.record.verdict() == Verdict::NotRun;
+        let in_time = self.record.sends() < MAX_ATTEMPTS && !self.remaining().is_zero();
         harmless && in_time && choose::may_retry(node)
     }
 
@@ -134,8 +120,8 @@
 
     /// A refusal with the verdict of all attempts together.
     pub fn refuse(&self, mut refusal: Refusal) -> Refusal {
-        refusal.verdict = refusal.verdict.worst(self.verdict);
-        if let (Code::NoEndpoint, Some(last)) = (refusal.code, &self.last) {
+        refusal.verdict = refusal.verdict.worst(self.record.verdict());
+        if let (Code::NoEndpoint, Some(last)) = (refusal.code, self.record.last()) {
             refusal.message = format!(
                 "{}; the last attempt failed: {}",
                 refusal.message, last.fault
@@ -146,7 +132,7 @@
 
     /// The refusal after the last failure.
     pub fn give_up(&self) -> Refusal {
-        let refusal = match &self.last {
+        let refusal = match self.record.last() {
             Some(failure) => failure.clone().into(),
             None => Refusal::not_run(Code::NoEndpoint, "the deadline has passed"),
         };
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -3,6 +3,7 @@
 //! Whatever goes wrong, a [`Failure`] says whether the request may have run,
 //! so that nothing above this package has to guess.
 
+pub mod attempt;
 pub mod chat;
 pub mod connection;
 pub mod events;
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,9 +1,6 @@
-//! The attempts of one request, and what they say together about whether it may have run.
+//! Sends a request to one endpoint after another, as far as that is safe.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use endpoint::{
     Answer,
@@ -12,6 +9,7 @@
     Options,
     Target,
     Verdict,
+    attempt::Record,
     pool::MAX_IDLE, //
 };
 use telemetry::{
@@ -51,24 +49,12 @@
 /// When to come back after the request's time has run out.
 const DEADLINE_RETRY: Duration = Duration::from_millis(500);
 
-/// What became of the attempts so far.
-///
-/// # Invariants
-///
-/// `verdict` only ever rises: no later attempt can make an earlier one unsent.
+/// The attempts of one request.
 #[derive(Debug)]
 pub struct Attempts {
     /// What the request has taken of its workspace's share.
     charge: Option<Charge>,
-    /// Endpoints that it was sent to.
-    sends: u32,
-    /// Endpoints on which it may have run.
-    runs: u32,
-    /// Whether the last attempt reached its endpoint.
-    arrived: bool,
-    tried: Vec<Arc<str>>,
-    verdict: Verdict,
-    last: Option<Failure>,
+    record: Record,
 }
 
 /// An answer whose head has arrived.
@@ -87,12 +73,7 @@
     pub fn new(charge: Option<Charge>) -> Self {
         Self {
             charge,
-            sends: 0,
-            runs: 0,
-            arrived: false,
-            tried: Vec::new(),
-            verdict: Verdict::NotRun,
-            last: None,
+            record: Record::default(),
         }
     }
 
@@ -111,15 +92,15 @@
             if call.time_left() < MIN_TIME_LEFT {
                 return Err(self.out_of_time());
             }
-            let must_go = last_event.is_some() || self.verdict != Verdict::NotRun;
-            let chosen = match choose::choose(node, call, &self.tried, must_go).await {
+            let must_go = last_event.is_some() || self.record.verdict() != Verdict::NotRun;
+            let chosen = match choose::choose(node, call, self.record.tried(), must_go).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return Err(self.refuse(refusal)),
             };
-            self.count(node, call);
+            self.begin(node, call);
             match self.attempt(node, call, &chosen, last_event).await {
                 Ok((answer, reply)) => {
-                    self.record(node, call, "answered");
+                    self.count_outcome(node, call, "answered");
                     return Ok(Begun {
                         chosen,
                         answer,
@@ -134,16 +115,15 @@
         }
     }
 
-    fn record<P: Protocol>(&self, node: &Node<P>, call: &Call, outcome: &'static str) {
-        let is_repeat = self.sends > 1;
+    fn count_outcome<P: Protocol>(&self, node: &Node<P>, call: &Call, outcome: &'static str) {
+        let is_repeat = self.record.sends() > 1;
         node.metrics.attempted(&call.service, is_repeat, outcome);
     }
 
-    fn count<P: Protocol>(&mut self, node: &Node<P>, call: &Call) {
-        if self.sends == 0 {
+    fn begin<P: Protocol>(&mut self, node: &Node<P>, call: &Call) {
+        if self.record.begin() == 1 {
             node.attempted(&call.service);
         }
-        self.sends += 1;
     }
 
     async fn attempt<P: Protocol>(
@@ -196,7 +176,8 @@
         if let Some(version) = reply.version {
             chosen.endpoint.hear_version(version);
         }
-        self.note_run();
+        self.record.ran();
+        self.spend();
         Ok((answer, reply))
     }
 
@@ -208,10 +189,8 @@
         }
     }
 
-    /// Notes that an endpoint works on the request, or may.
-    fn note_run(&mut self) {
-        self.runs += 1;
-        self.verdict = Verdict::MayHaveRun;
+    /// Keeps what was taken of the workspace's share, once an endpoint may work on the request.
+    fn spend(&mut self) {
         if let Some(charge) = &mut self.charge {
             charge.spend();
         }
@@ -224,7 +203,19 @@
         chosen: &Chosen,
         failure: Failure,
     ) {
-        self.record(node, call, failure.verdict.as_str());
+        self.learn_failure(node, call, chosen, &failure);
+        let name = &chosen.endpoint.registration.name;
+        self.record.failed(name, failure);
+    }
+
+    fn learn_failure<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        chosen: &Chosen,
+        failure: &Failure,
+    ) {
+        self.count_outcome(node, call, failure.verdict.as_str());
         let name = &chosen.endpoint.registration.name;
         emit!(
             warn,
@@ -235,15 +226,13 @@
             version = chosen.version,
             reason = %failure.fault,
         );
-        self.arrived = !matches!(failure.fault, Fault::Connect(_));
-        if failure.verdict != Verdict::NotRun {
-            self.note_run();
-            chosen.failed(node);
-        } else if !self.arrived {
+        let may_have_run = failure.verdict != Verdict::NotRun;
+        if may_have_run {
+            self.spend();
+        }
+        if may_have_run || matches!(failure.fault, Fault::Connect(_)) {
             chosen.failed(node);
         }
-        self.tried.push(name.clone());
-        self.last = Some(failure);
     }
 
     /// Notes that an answer that had begun broke off.
@@ -254,17 +243,18 @@
         chosen: &Chosen,
         failure: Failure,
     ) {
-        // The run itself was counted when the answer began.
-        self.runs = self.runs.saturating_sub(1);
-        self.fail(node, call, chosen, failure);
+        self.learn_failure(node, call, chosen, &failure);
+        let name = &chosen.endpoint.registration.name;
+        self.record.broke_off(name, failure);
     }
 
     /// Whether another attempt may follow.
     pub fn may_go_on<P: Protocol>(&self, node: &Node<P>, call: &Call) -> bool {
-        let harmless = self.verdict == Verdict::NotRun
-            || (call.is_repeatable() && self.runs < call.route.max_runs);
-        let in_time = self.sends < MAX_SENDS && call.time_left() >= MIN_TIME_LEFT;
-        harmless && in_time && (!self.arrived || node.may_repeat(&call.service))
+        let record = &self.record;
+        let harmless = record.verdict() == Verdict::NotRun
+            || (call.is_repeatable() && record.runs() < call.route.max_runs);
+        let in_time = record.sends() < MAX_SENDS && call.time_left() >= MIN_TIME_LEFT;
+        harmless && in_time && (!record.has_arrived() || node.may_repeat(&call.service))
     }
 
     /// The refusal after the last failure.
@@ -272,11 +262,11 @@
         if call.time_left().is_zero() {
             return self.out_of_time();
         }
-        let reason = match self.verdict {
+        let reason = match self.record.verdict() {
             Verdict::NotRun => Reason::NoEndpoint,
             Verdict::MayHaveRun | Verdict::Ran => Reason::EndpointFailed,
         };
-        let message = match &self.last {
+        let message = match self.record.last() {
             Some(failure) => failure.fault.to_string(),
             None => "nothing was tried".to_owned(),
         };
@@ -290,7 +280,7 @@
 
     /// A refusal with the verdict of all attempts together.
     fn refuse(&self, mut refusal: Refusal) -> Refusal {
-        refusal.verdict = refusal.verdict.worst(self.verdict);
+        refusal.verdict = refusal.verdict.worst(self.record.verdict());
         refusal
     }
 }
@@ -310,12 +300,11 @@
     /// Notes a whole answer that tells of an error; the endpoint is not asked again.
     pub fn note_error(&mut self, chosen: &Chosen, fault: Fault) {
         let registration = &chosen.endpoint.registration;
-        self.arrived = true;
-        self.tried.push(registration.name.clone());
-        self.last = Some(Failure {
+        let failure = Failure {
             address: registration.address,
             verdict: Verdict::Ran,
             fault,
-        });
+        };
+        self.record.answered_error(&registration.name, failure);
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod refusal;
 pub mod request;
 pub mod rollout;
+mod states;
 pub mod stream;
 pub mod sync;
 
--- /dev/null
+++ b/crates/router/src/states.rs
@@ -0,0 +1,55 @@
+//! Metrics of what an instance believes.
+
+use std::time::Duration;
+
+use crate::{
+    node::Node,
+    protocol::Protocol, //
+};
+
+impl<P: Protocol> Node<P> {
+    /// Sets the metrics that tell what this instance believes now.
+    pub fn record_states(&self) {
+        let metrics = &self.metrics;
+        let version = self.catalog.load().as_ref().map_or(0, |c| c.version);
+        metrics.state("catalog_version", "", version);
+        for wanted in self.wanted.load().iter() {
+            metrics.state("weights_wanted", &wanted.model, wanted.version);
+        }
+        let lease = self.lease.check(Duration::ZERO);
+        metrics.state("lease_number", "", lease.map_or(0, |grant| grant.number));
+        metrics.state("hub", "", u64::from(self.hub().is_some()));
+        metrics.state("instances", "", self.sharers() as u64);
+        let fleet = self.endpoints.fleet();
+        let now = self.beliefs.now();
+        let mut counts: Vec<(&str, [u64; 4])> = Vec::new();
+        for endpoint in fleet.all() {
+            let service = &*endpoint.registration.service;
+            if counts.last().is_none_or(|(last, _)| *last != service) {
+                counts.push((service, [0; 4]));
+            }
+            let known = self.health.find(&endpoint.registration.name);
+            let is_usable = known.is_none_or(|known| known.view("", now).usable);
+            let state = match () {
+                () if endpoint.registration.leaving => 0,
+                () if endpoint.is_loading() => 1,
+                () if !is_usable => 2,
+                () => 3,
+            };
+            if let Some((_, counts)) = counts.last_mut() {
+                counts[state] += 1;
+            }
+        }
+        let names = [
+            "endpoints_leaving",
+            "endpoints_loading",
+            "endpoints_shunned",
+            "endpoints_ready",
+        ];
+        for (service, counts) in counts {
+            for (name, count) in names.iter().zip(counts) {
+                metrics.state(name, service, count);
+            }
+        }
+    }
+}
