--- a/crates/policy/src/hub.rs
+++ b/crates/policy/src/hub.rs
@@ -23,12 +23,16 @@
     pub name: &'a str,
     /// Its failure domain.
     pub domain: &'a str,
+    /// Whether its link is wide enough to serve the others.
+    pub is_wide: bool,
 }
 
-/// The hubs among `candidates`, by index: first one of each failure domain, in an order of the
-/// names that all instances agree on.
+/// The hubs among `candidates`, by index: those with wide links if there are any, first one of each
+/// failure domain, in an order of the names that all instances agree on.
 pub fn pick(candidates: &[Candidate<'_>]) -> Vec<usize> {
+    let any_wide = candidates.iter().any(|candidate| candidate.is_wide);
     let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.retain(|&index| !any_wide || candidates[index].is_wide);
     order.sort_by_key(|&index| xxh3_64(candidates[index].name.as_bytes()));
     let mut domains: Vec<&str> = Vec::new();
     let (mut first, mut others) = (Vec::new(), Vec::new());
--- a/crates/policy/tests/hub.rs
+++ b/crates/policy/tests/hub.rs
@@ -19,6 +19,7 @@
         .map(|(index, name)| Candidate {
             name,
             domain: DOMAINS[index % DOMAINS.len()],
+            is_wide: true,
         })
         .collect()
 }
@@ -35,13 +36,30 @@
     assert_eq!(domains, DOMAINS);
 }
 
+/// Pattern: most links carry ten megabits a second, and a change goes to all instances at once.
+#[test]
+fn narrow_links_serve_only_where_no_other_is_left() {
+    let names: Vec<String> = (0..86).map(|n| format!("front-{n}")).collect();
+    let mut candidates = candidates(&names);
+    for (index, candidate) in candidates.iter_mut().enumerate() {
+        candidate.is_wide = index % 20 == 0;
+    }
+    let hubs = pick(&candidates);
+    assert_eq!(hubs.len(), HUBS);
+    assert!(hubs.iter().all(|&index| candidates[index].is_wide));
+    for candidate in &mut candidates {
+        candidate.is_wide = false;
+    }
+    assert_eq!(pick(&candidates).len(), HUBS);
+}
+
 quickcheck! {
     /// Instances that list the same members in another order agree on the hubs.
     fn the_order_of_the_list_does_not_matter(names: Vec<String>) -> bool {
         let mut names = names;
         names.sort();
         names.dedup();
-        let one = Candidate { name: "", domain: "a" };
+        let one = Candidate { name: "", domain: "a", is_wide: true };
         let forth: Vec<Candidate<'_>> = names.iter().map(|name| Candidate { name, ..one }).collect();
         let back: Vec<Candidate<'_>> = forth.iter().rev().copied().collect();
         let named = |list: &[Candidate<'_>]| -> Vec<String> {
--- a/crates/policy/tests/share.rs
+++ b/crates/policy/tests/share.rs
@@ -92,3 +92,32 @@
     assert_eq!(bucket.take_ahead(share, 50.0), 10.0);
     assert_eq!(bucket.take_ahead(share, 50.0), 0.0);
 }
+
+/// Pattern: the owner of a limit is lost while the workspace sends all it can, and the next owner does
+/// not know what was spent; it happens again within the same window.
+#[test]
+fn a_limit_whose_owner_changes_holds_in_every_window() {
+    let (rate, burst) = (55_000.0, 110_000.0);
+    let share = Share::whole(rate, burst, TOLERANCE);
+    let at = |millis: u64| Duration::from_millis(millis);
+    let cost = 2_000.0;
+    let mut bucket = Bucket::new(Duration::ZERO, share);
+    let mut taken = Vec::new();
+    for step in 0..4_000_u64 {
+        let now = at(step * 10);
+        if now == at(20_000) || now == at(24_000) {
+            bucket = Bucket::new(now, share);
+        }
+        while bucket.take(now, share, cost, true).is_ok() {
+            taken.push(now);
+        }
+    }
+    let limit = (rate * WINDOW + burst) * 1.1 + TOLERANCE.slack;
+    for from in &taken {
+        let within = taken
+            .iter()
+            .filter(|at| *at >= from && (**at - *from).as_secs_f64() < WINDOW);
+        let spent = within.count() as f64 * cost;
+        assert!(spent <= limit + cost, "{spent} from {from:?}");
+    }
+}
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -199,14 +199,13 @@
 }
 
 /// Whether this instance is a hub, and the addresses of the hubs.
-fn hubs<P: Protocol>(node: &Node<P>, mut members: Vec<Member>) -> (Option<usize>, Vec<SocketAddr>) {
-    let any_wide = members.iter().any(Member::is_wide);
-    members.retain(|member| !any_wide || member.is_wide());
+fn hubs<P: Protocol>(node: &Node<P>, members: &[Member]) -> (Option<usize>, Vec<SocketAddr>) {
     let candidates: Vec<Candidate<'_>> = members
         .iter()
         .map(|member| Candidate {
             name: &member.name,
             domain: &member.row.domain,
+            is_wide: member.is_wide(),
         })
         .collect();
     let picked = hub::pick(&candidates);
@@ -363,7 +362,7 @@
         node.members.stable_since(now);
         node.date_versions();
         let members = node.members.heard(now);
-        let (own, hubs) = hubs(node, members);
+        let (own, hubs) = hubs(node, &members);
         node.set_hub(own);
         let is_full = count.is_multiple_of(DIGESTS_PER_BEAT);
         if is_full {
@@ -379,7 +378,7 @@
 /// Tells the hubs at once that this instance is stopping.
 pub async fn tell_leaving<P: Protocol>(node: &Node<P>) {
     let now = clock::now();
-    let (_, hubs) = hubs(node, node.members.heard(now));
+    let (_, hubs) = hubs(node, &node.members.heard(now));
     beat(node, &hubs, now).await;
 }
 
--- a/crates/router/tests/tables.rs
+++ b/crates/router/tests/tables.rs
@@ -28,6 +28,7 @@
         Beat,
         Message, //
     },
+    node::Wanted,
     protocol::{
         Invalid,
         Operator,
@@ -152,6 +153,25 @@
     }]
 }
 
+/// Pattern: versions are named within seconds; the term of each runs from when it was replaced, not
+/// from the newest naming.
+#[test]
+fn weights_age_from_the_naming_that_replaced_them() {
+    let at = Duration::from_secs;
+    let wanted = Wanted {
+        model: "m".to_owned(),
+        version: 3,
+        named: vec![(1, at(10)), (2, at(20)), (3, at(22))],
+        agreed: true,
+    };
+    assert_eq!(wanted.replaced_since(0), Some(at(10)));
+    assert_eq!(wanted.replaced_since(1), Some(at(20)));
+    assert_eq!(wanted.replaced_since(2), Some(at(22)));
+    assert_eq!(wanted.replaced_since(3), None);
+    // A version that no operator named yet is newer than all.
+    assert_eq!(wanted.replaced_since(4), None);
+}
+
 #[test]
 fn a_row_that_does_not_read_names_no_endpoint() {
     let endpoints = Endpoints::default();
