--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    config::Choice,
     fleet::Endpoint,
     message::End,
     node::Node,
@@ -86,7 +87,8 @@
     let is_short = query.is_short();
     let tail = chain.tail;
     let mut placement = Placement::Unknown;
-    if query.engine().is_some() && !is_short {
+    let is_planned = node.config.choice == Choice::Planned;
+    if is_planned && query.engine().is_some() && !is_short {
         placement = planner::place(node, &query, must_go).await;
     }
     let (decision, ticket) = match placement {
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -22,7 +22,8 @@
         Choice,
         Request,
         Scratch,
-        Source, //
+        Source,
+        Strategy, //
     },
     lane,
     prefix::Chain, //
@@ -177,7 +178,9 @@
     if eligible.iter().any(|e| !e.endpoint.is_loading()) {
         eligible.retain(|e| !e.endpoint.is_loading());
     }
-    keep_lane(node, query, &mut eligible);
+    if node.config.choice.strategy() == Strategy::Cost {
+        keep_lane(node, query, &mut eligible);
+    }
     if scope == Scope::All {
         keep_cell(node, query, &mut eligible);
     }
@@ -354,12 +357,13 @@
     let old = query.objective.as_secs_f32() * OLD_WEIGHTS_PART / BLOCK_SECONDS;
     let capacity = query.engine().map_or(0.0, |e| e.cache_tokens as f32);
     let mut looks = Vec::new();
-    let candidate = |e: &Eligible| {
+    let mut candidates: Vec<Candidate<'_>> = Vec::with_capacity(eligible.len());
+    for e in eligible {
         let count = &e.known.count;
         let inflow = &e.view.estimate.inflow;
         let look = look(node, query, &e.endpoint, &mut looks);
-        Candidate {
-            name: "",
+        candidates.push(Candidate {
+            name: &e.endpoint.registration.name,
             hash: e.known.hash,
             holder: e.view.holder,
             in_flight: count.running(),
@@ -384,9 +388,18 @@
             kept_wait: look.wait,
             doubt: if e.is_old { old } else { 0.0 },
             harm: count.more_urgent(class) as f32,
-        }
-    };
-    let candidates: Vec<Candidate<'_>> = eligible.iter().map(candidate).collect();
+        });
+    }
+    let strategy = node.config.choice.strategy();
+    if strategy != Strategy::Cost {
+        let turn = node.health.turn();
+        let index = choice::pick_baseline(strategy, &candidates, request, turn)?;
+        return Some(Choice {
+            index,
+            missed: request.levels.len() as f32 + request.tail,
+            ..Choice::default()
+        });
+    }
     SCRATCH.with_borrow_mut(|scratch| {
         let pick = |beliefs: &_| choice::pick(&candidates, beliefs, request, scratch);
         node.beliefs.read(pick)
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -11,6 +11,7 @@
     anyhow,
     bail, //
 };
+use policy::choice::Strategy;
 use serde::{
     Deserialize,
     Serialize,
@@ -40,10 +41,43 @@
     pub table: SocketAddr,
     /// Bandwidth of this instance's link, in megabits a second.
     pub link_mbps: f64,
+    /// How endpoints are chosen.
+    #[serde(default)]
+    pub choice: Choice,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
 }
 
+/// How endpoints are chosen; all but the default exist to be measured against.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Choice {
+    /// By expected time to the first token; one instance places the long requests of all.
+    #[default]
+    Planned,
+    /// By expected time to the first token; each instance places its own requests.
+    Alone,
+    /// The least requests of this instance.
+    LeastLoad,
+    /// Home by a hash of the prefix's first blocks, with bounded load.
+    PrefixHash,
+    /// Each in turn.
+    RoundRobin,
+}
+
+impl Choice {
+    /// The strategy among candidates.
+    pub fn strategy(self) -> Strategy {
+        match self {
+            Choice::Planned | Choice::Alone => Strategy::Cost,
+            Choice::LeastLoad => Strategy::LeastLoad,
+            Choice::PrefixHash => Strategy::PrefixHash,
+            Choice::RoundRobin => Strategy::RoundRobin,
+        }
+    }
+}
+
 /// Listening addresses of one instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -222,7 +222,10 @@
         match self {
             By::Own => f.write_str("this instance"),
             By::Owner(owner) => write!(f, "its owner {owner}"),
-            By::EvenPart(owner) => write!(f, "this instance, whose owner {owner} is silent"),
+            By::EvenPart(owner) => write!(
+                f,
+                "this instance for its even part, since the owner {owner} is silent"
+            ),
         }
     }
 }
