--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -74,7 +74,7 @@
     },
 }
 
-/// One tenant of the fleet.
+/// A workspace: whose requests they are, and what it may use.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Workspace {
     /// Name, as endpoints get to see it.
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -249,6 +249,7 @@
             .map(|member| Candidate {
                 name: &member.name,
                 domain: "",
+                // Narrow links are passed over as instances that leave are.
                 leaving: any_wide && !member.is_wide(),
             })
             .collect();
