Faults of endpoints name the shared segments of the request

A log could not tell which prompts were at an endpoint whose connections all ended at once, so a crash that a segment causes looked like one that the engine's host causes. Each fault that ends a connection now lists the ids of the request's segments but the last.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -234,6 +234,7 @@
             endpoint = &**name,
             verdict = failure.verdict.as_str(),
             version = selection.version,
+            segments = is_break(&failure.fault).then(|| call.shared_segments_text()),
             reason = %failure.fault,
         );
         let may_have_run = failure.verdict != Verdict::NotRun;
@@ -302,6 +303,11 @@
     }
 }
 
+/// Whether the connection ended before the answer was complete, as when an endpoint crashes.
+fn is_break(fault: &Fault) -> bool {
+    matches!(fault, Fault::NoAnswer(_) | Fault::Truncated(_))
+}
+
 /// Maximum number of idle connections per endpoint of the call's service. Requests that may not
 /// be repeated never reuse a connection, so theirs are closed.
 fn max_idle<P: Protocol>(node: &Node<P>, call: &Call) -> usize {
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -138,6 +138,21 @@
         Chain::from_segments(self.cache_salt(0), segments)
     }
 
+    /// Ids of the segments that other requests may share: all but the last, which belongs to the
+    /// request itself.
+    pub fn shared_segments(&self) -> impl Iterator<Item = u64> {
+        let segments = self.head.segments.split_last();
+        segments
+            .into_iter()
+            .flat_map(|(_, shared)| shared.iter().map(|segment| segment.id))
+    }
+
+    /// Ids of the shared segments, for logs.
+    pub fn shared_segments_text(&self) -> String {
+        let ids: Vec<String> = self.shared_segments().map(|id| format!("{id:x}")).collect();
+        ids.join(",")
+    }
+
     /// Units that the request is charged against the workspace's limit.
     pub fn units(&self, workspace: &Workspace) -> u64 {
         match workspace.unit {
