A waiting request follows the date of the version that superseded its weights

Callers saw nothing; the platform saw a request begin on superseded weights after their term. Cause: a request that waits at an engine computed the end of the term once and slept until then. An instance that has just started dates a version by its start until the record of the first sighting has been read and the table's clock is known, 0.3 s later. What it sent in between was cancelled a term after the start. The same holds for any instance that learns of a version late and of its date afterwards.

Ruled out: the date itself (the choice of an engine was right from the first reading of the record on); the cancellation (it came, at the wrong time).

The waiting request now wakes when the versions or their dates change.

--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -174,6 +174,8 @@
         let term = node.config.bounds.weights;
         async move {
             loop {
+                // A version may turn out to be older than this instance knew at first.
+                let changed = node.rollouts_changed.notified();
                 let now = clock::now();
                 let superseded_at = model.and_then(|model| {
                     let rollout = node.rollout(model)?;
@@ -189,7 +191,10 @@
                         fault: Fault::WeightsExpired,
                     };
                 }
-                tokio::time::sleep(wait.max(MIN_TERM_CHECK_INTERVAL)).await;
+                tokio::select! {
+                    () = tokio::time::sleep(wait.max(MIN_TERM_CHECK_INTERVAL)) => {}
+                    () = changed => {}
+                }
             }
         }
     }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -94,6 +94,8 @@
     pub catalog: ArcSwapOption<Catalog>,
     /// Rollouts of weights, one for each model.
     pub rollouts: ArcSwap<Vec<Rollout>>,
+    /// Notified when `rollouts` changes.
+    pub rollouts_changed: Notify,
     /// Endpoints of all services.
     pub endpoints: Endpoints,
     /// Instances that serve requests.
@@ -149,6 +151,7 @@
             mirrors: Mirrors::default(),
             catalog: ArcSwapOption::empty(),
             rollouts: ArcSwap::default(),
+            rollouts_changed: Notify::new(),
             endpoints: Endpoints::default(),
             members: instance::Table::default(),
             pool: Arc::new(Pool::new(P::id_header())),
--- a/crates/router/src/weights.rs
+++ b/crates/router/src/weights.rs
@@ -63,7 +63,7 @@
         });
         rollouts[index].version = version;
         rollouts[index].versions.add(version, clock::now());
-        self.rollouts.store(Arc::new(rollouts));
+        self.store_rollouts(rollouts);
         self.rollout_wakeup.notify_one();
     }
 
@@ -100,7 +100,12 @@
             }
         }
         if dated != **rollouts {
-            self.rollouts.store(Arc::new(dated));
+            self.store_rollouts(dated);
         }
     }
+
+    fn store_rollouts(&self, rollouts: Vec<Rollout>) {
+        self.rollouts.store(Arc::new(rollouts));
+        self.rollouts_changed.notify_waiters();
+    }
 }
