Quarantines a segment of prompts that crashes engines

What callers saw: requests with one segment crashed the engine that began to answer them, were sent to another engine, and were repeated by their callers, so that engine after engine went down and sound requests failed with them.

Cause, a class of its own: the router judged engines by their failures and never the requests.

Now each instance keeps the segments of the requests that broke off before their answer had shown two chunks or its end. Once the crash is confirmed (connections are refused, or the registration is gone) it tells the hubs, which find the segment in all crashes (policy::suspect) and quarantine it: at once by datagram, and as a row of the table that outlasts restarts. Requests with it are refused with 503 and Retry-After before they reach an endpoint. Trials are claimed by conditional writes of the row, 5 s after the quarantine and then at growing intervals; an answered request ends the quarantine at all instances. Instances serve no request before they have read these rows.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -13,7 +13,7 @@
 const MAX_DELAY: Duration = Duration::from_secs(600);
 /// How much later a request with several quarantined segments may be tried, so that requests with
 /// only one of them are tried first and the crash of one segment does not delay the others.
-const JOINT_DELAY: Duration = Duration::from_secs(2);
+const JOINT_DELAY: Duration = Duration::from_secs(10);
 /// Shortest time after which a refused caller may return.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -56,7 +56,7 @@
     let due = if held.len() == 1 {
         latest
     } else {
-        latest + JOINT_DELAY
+        latest.saturating_add(JOINT_DELAY)
     };
     if due <= now {
         Admission::Try(held.iter().map(|entry| entry.segment).collect())
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -30,6 +30,10 @@
         Rejection, //
         Reply,
     },
+    quarantine::{
+        self,
+        Permit, //
+    },
     quota::Charge,
     refusal::{
         Reason,
@@ -92,7 +96,13 @@
             if call.time_left() < MIN_TIME_LEFT {
                 return Err(self.deadline_refusal());
             }
-            let must_place = last_event.is_some() || self.record.verdict() != Verdict::NotRun;
+            let permit = match quarantine::check(node, call).await {
+                Ok(permit) => permit,
+                Err(refusal) => return Err(self.with_verdict(refusal)),
+            };
+            let must_place = last_event.is_some()
+                || self.record.verdict() != Verdict::NotRun
+                || permit == Permit::Trial;
             let selection = match choose::choose(node, call, self.record.tried(), must_place).await
             {
                 Ok(selection) => selection,
@@ -237,6 +247,9 @@
             segments = is_break(&failure.fault).then(|| call.shared_segments_text()),
             reason = %failure.fault,
         );
+        if is_break(&failure.fault) && !selection.proof.is_given() {
+            quarantine::record_break(node, call, selection);
+        }
         let may_have_run = failure.verdict != Verdict::NotRun;
         if may_have_run {
             self.spend_charge();
--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -95,8 +95,11 @@
     answer: Answer,
 ) -> Result<(Parts, Bytes), endpoint::Failure> {
     let result = answer.collect(MAX_ANSWER_BYTES, call.time_left()).await;
-    if result.is_ok() {
+    if let Ok((head, _)) = &result {
         selection.record_first_token(node);
+        if head.status.is_success() {
+            selection.proof.record(node, call);
+        }
     }
     result
 }
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -39,6 +39,7 @@
         Ticket, //
     },
     protocol::Protocol,
+    quarantine::Proof,
     refusal::{
         Reason,
         Refusal, //
@@ -80,6 +81,8 @@
     levels: Vec<u64>,
     /// Reports the outcome to the planner, if the planner placed the request.
     ticket: Option<Ticket>,
+    /// Whether the answer has shown that the request does not crash engines.
+    pub proof: Proof,
 }
 
 /// Chooses an endpoint of the call's service that is not in `tried`.
@@ -157,6 +160,7 @@
         health,
         levels,
         ticket,
+        proof: Proof::default(),
     })
 }
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -37,6 +37,7 @@
     peer,
     plane,
     protocol::Protocol,
+    quarantine,
     rollout,
     sync, //
 };
@@ -117,6 +118,7 @@
         tokio::spawn(sync::run(node.clone(), table.clone()));
         tokio::spawn(peer::bootstrap(node.clone()));
         tokio::spawn(rollout::run(node.clone(), table.clone()));
+        tokio::spawn(quarantine::run(node.clone(), table.clone()));
         emit!(info, event::STARTED, instance = node.config.name);
         Ok(Self {
             node,
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -52,6 +52,7 @@
     node::Node,
     planner,
     protocol::Protocol,
+    quarantine,
     quota, //
 };
 use fetch::{
@@ -281,6 +282,8 @@
         }
         Message::PlacementResponse(ref response) => node.exchange.answer(response.id, message),
         Message::Outcome(outcome) => planner::handle_outcome(node, &outcome),
+        Message::Evidence(evidence) => quarantine::handle_evidence(node, &evidence),
+        Message::Suspects(suspects) => quarantine::handle_suspects(node, &suspects, from).await,
     }
 }
 
@@ -469,7 +472,18 @@
     send_all(node, &push).await;
 }
 
-async fn send_all<P: Protocol>(node: &Node<P>, message: &Message) {
+/// Sends a message to the hubs, except to this instance.
+pub async fn send_to_hubs<P: Protocol>(node: &Node<P>, message: &Message) {
+    let (_, hubs) = pick_hubs(node, &node.members.live(clock::now()));
+    for hub in hubs {
+        if hub != node.config.listen.exchange {
+            send(node, message, hub).await;
+        }
+    }
+}
+
+/// Sends a message to all other instances.
+pub async fn send_all<P: Protocol>(node: &Node<P>, message: &Message) {
     let Some(bytes) = message.encode() else {
         return;
     };
@@ -478,7 +492,8 @@
     }
 }
 
-async fn send<P: Protocol>(node: &Node<P>, message: &Message, to: SocketAddr) {
+/// Sends a message to another instance; drops it if it is too large.
+pub async fn send<P: Protocol>(node: &Node<P>, message: &Message, to: SocketAddr) {
     if let Some(bytes) = message.encode() {
         send_bytes(node, &bytes, to).await;
     }
@@ -491,6 +506,6 @@
 }
 
 /// Converts a duration to whole milliseconds, capped at the maximum of the type.
-fn whole_millis(duration: Duration) -> u32 {
+pub fn whole_millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod plane;
 pub mod planner;
 pub mod protocol;
+pub mod quarantine;
 pub mod quota;
 pub mod refusal;
 pub mod request;
@@ -46,5 +47,7 @@
 /// Prefix of the rows that record when versions of weights were first seen, by the table's clock.
 /// The key continues with the model, a slash and the version.
 pub const FIRST_SEEN: &str = "damask/named/";
+/// Prefix of the rows of quarantined segments; the key continues with the segment's id.
+pub const QUARANTINE: &str = "damask/quarantine/";
 /// Key of the row of the lease that permits orders to engines.
 pub const LEASE: &str = "damask/lease";
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -49,6 +49,10 @@
     PlacementResponse(PlacementResponse),
     /// From an instance to the planner: progress or end of a request that the planner placed.
     Outcome(Outcome),
+    /// From an instance to hubs: crashes of endpoints, and answers.
+    Evidence(Evidence),
+    /// From a hub to all other instances: segments that may crash engines.
+    Suspects(Suspects),
 }
 
 /// Asks the planner of a service for the endpoint of one request.
@@ -188,6 +192,39 @@
     pub wait_ms: Option<u32>,
 }
 
+/// Crashes of endpoints and answers to requests, as one instance has seen them.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Evidence {
+    /// Crashes of the last few seconds.
+    pub crashes: Vec<Crash>,
+    /// Segments of requests that were answered, with the age of the last answer in milliseconds.
+    pub answers: Vec<(u64, u32)>,
+}
+
+/// Crash of one endpoint.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Crash {
+    /// Hash of the endpoint's name.
+    pub endpoint: u64,
+    /// Age of the crash, in milliseconds.
+    pub age_ms: u32,
+    /// Shared segments of the requests that it ended before they were answered.
+    pub segments: Vec<u64>,
+}
+
+/// Segments that may crash engines.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Suspects {
+    /// Segments of which the hub asks for the last answer.
+    pub open: Vec<u64>,
+    /// Segments whose quarantine is not in the table yet: id, number of crashes, and whether other
+    /// segments were present in the same crashes.
+    pub culprits: Vec<(u64, u32, bool)>,
+}
+
 /// Tells a hub that an instance is alive.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -62,6 +62,7 @@
         OperatorRow,
         Protocol, //
     },
+    quarantine,
     quota,
     rollout,
     weights::Rollout, //
@@ -112,6 +113,8 @@
     pub peers: Client,
     /// Rate limits of workspaces.
     pub quotas: Arc<quota::Table>,
+    /// Segments of prompts that crash engines.
+    pub quarantine: quarantine::Table,
     /// Placement of model requests, by this or another instance.
     pub planner: planner::State,
     /// The lease that permits orders to engines.
@@ -160,6 +163,7 @@
             exchange: Exchange::bind(config.listen.exchange)?,
             peers: Client::new(peer::ANSWER_TIMEOUT),
             quotas: Arc::default(),
+            quarantine: quarantine::Table::default(),
             planner: planner::State::default(),
             lease: Lease::default(),
             lease_row: Mutex::default(),
@@ -203,9 +207,15 @@
         self.catalog.load().is_some()
     }
 
+    /// Whether the state is known without which no request may be served: the configuration, and
+    /// the instances' rows, since some segments may be quarantined.
+    pub fn knows_state(&self) -> bool {
+        self.has_catalog() && self.mirrors.instances.revision() > 0
+    }
+
     /// Whether the instance accepts requests.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.catalog.load().is_some()
+        !self.is_stopping() && self.knows_state()
     }
 
     /// Applies changed rows of operators.
@@ -266,6 +276,7 @@
                 });
             }
             rollout::apply_progress(self, change);
+            quarantine::apply_row(self, change);
             self.apply_instance_row(change);
         }
     }
--- /dev/null
+++ b/crates/router/src/quarantine/detect.rs
@@ -0,0 +1,341 @@
+//! Crashes of endpoints as this instance sees them, and their exchange with the hubs.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use policy::suspect::{
+    Culprit,
+    Evaluation, //
+};
+use state::clock;
+use telemetry::{
+    emit,
+    event, //
+};
+use tokio::net::TcpStream;
+
+use super::Source;
+use crate::{
+    exchange,
+    fleet::Endpoint,
+    message::{
+        Crash,
+        Evidence,
+        Message,
+        Suspects, //
+    },
+    node::Node,
+    protocol::Protocol, //
+};
+
+/// Interval at which evidence is sent again, since datagrams may be lost and hubs may change.
+const SEND_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which breaks are collected before they are evaluated: the connections to a crashed
+/// endpoint end together.
+const BATCH_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a crash is sent again.
+const SEND_HORIZON: Duration = Duration::from_secs(5);
+/// Maximum number of crashes in one message.
+const MAX_SENT_CRASHES: usize = 8;
+/// Maximum number of segments in one message.
+const MAX_SENT_SEGMENTS: usize = 256;
+/// Delays before the checks of whether an endpoint is gone after connections to it broke; one that
+/// restarts quickly shows by its registration that it did.
+const CHECK_DELAYS: [Duration; 6] = [
+    Duration::ZERO,
+    Duration::from_millis(50),
+    Duration::from_millis(200),
+    Duration::from_millis(750),
+    Duration::from_millis(2_000),
+    Duration::from_millis(4_000),
+];
+/// Timeout of the connection that checks an endpoint.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Requests whose connections to one incarnation of an endpoint broke.
+#[derive(Debug)]
+struct Break {
+    endpoint: Arc<Endpoint>,
+    at: Duration,
+    /// Segments of these requests.
+    segments: Vec<u64>,
+    /// Whether it is known that the endpoint crashed.
+    confirmed: bool,
+    /// Whether a check of the endpoint has begun.
+    checked: bool,
+    /// Whether `segments` has changed since the evidence was last updated.
+    changed: bool,
+}
+
+/// Breaks of the last few seconds.
+#[derive(Debug, Default)]
+pub struct State {
+    breaks: Vec<Break>,
+}
+
+impl State {
+    /// Records that a request with these segments broke off.
+    pub fn add_break(&mut self, endpoint: Arc<Endpoint>, segments: Vec<u64>, now: Duration) {
+        self.breaks.retain(|known| now < known.at + SEND_HORIZON);
+        let is_same = |known: &&mut Break| is_same_incarnation(&known.endpoint, &endpoint);
+        if let Some(known) = self.breaks.iter_mut().find(is_same) {
+            known.segments.extend(segments);
+            known.segments.sort_unstable();
+            known.segments.dedup();
+            known.segments.truncate(MAX_SENT_SEGMENTS);
+            known.changed = true;
+            return;
+        }
+        self.breaks.push(Break {
+            endpoint,
+            at: now,
+            segments,
+            confirmed: false,
+            checked: false,
+            changed: true,
+        });
+    }
+}
+
+fn is_same_incarnation(one: &Endpoint, other: &Endpoint) -> bool {
+    let (one, other) = (&one.registration, &other.registration);
+    one.name == other.name && one.incarnation == other.incarnation
+}
+
+/// Hash under which instances tell each other of an endpoint.
+fn endpoint_hash(endpoint: &Endpoint) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(endpoint.registration.name.as_bytes())
+}
+
+/// Evaluates the evidence until the task is aborted.
+pub async fn run<P: Protocol>(node: &Arc<Node<P>>) {
+    let mut evaluate_at = None;
+    let mut sent_at = Duration::ZERO;
+    loop {
+        let woken = node.quarantine.evidence_added.notified();
+        let is_woken = tokio::time::timeout(SEND_INTERVAL, woken).await.is_ok();
+        if is_woken {
+            tokio::time::sleep(BATCH_DELAY).await;
+        }
+        start_checks(node);
+        let has_new = record_crashes(node);
+        let now = clock::now();
+        let is_due = evaluate_at.is_some_and(|at| at <= now);
+        let repeats = sent_at + SEND_INTERVAL <= now;
+        if has_new || repeats {
+            send_crashes(node, now).await;
+        }
+        if is_woken || is_due || repeats {
+            let evaluation = evaluate(node, now);
+            if has_new || is_due || repeats {
+                send_suspects(node, &evaluation).await;
+            }
+            evaluate_at = evaluation.evaluate_at;
+        }
+        if repeats {
+            sent_at = now;
+        }
+    }
+}
+
+/// Begins to check the endpoints to which connections broke.
+fn start_checks<P: Protocol>(node: &Arc<Node<P>>) {
+    let mut state = node.quarantine.state.lock();
+    for known in state.detect.breaks.iter_mut().filter(|b| !b.checked) {
+        known.checked = true;
+        tokio::spawn(check(node.clone(), known.endpoint.clone()));
+    }
+}
+
+/// Finds out whether an endpoint has crashed: it accepts no connection, or another incarnation
+/// takes its place.
+async fn check<P: Protocol>(node: Arc<Node<P>>, endpoint: Arc<Endpoint>) {
+    for delay in CHECK_DELAYS {
+        tokio::time::sleep(delay).await;
+        let fleet = node.endpoints.fleet();
+        let is_registered = fleet
+            .of_service(&endpoint.registration.service)
+            .iter()
+            .any(|other| is_same_incarnation(other, &endpoint));
+        if !is_registered || is_refused(endpoint.registration.address).await {
+            confirm(&node, &endpoint);
+            return;
+        }
+    }
+}
+
+/// Whether a connection to this address is refused; a host that does not answer may have been
+/// cut off and tells nothing about its processes.
+async fn is_refused(address: SocketAddr) -> bool {
+    let connected = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+fn confirm<P: Protocol>(node: &Node<P>, endpoint: &Endpoint) {
+    let mut state = node.quarantine.state.lock();
+    let breaks = &mut state.detect.breaks;
+    for known in breaks
+        .iter_mut()
+        .filter(|known| is_same_incarnation(&known.endpoint, endpoint))
+    {
+        known.confirmed = true;
+        known.changed = true;
+    }
+    drop(state);
+    node.quarantine.evidence_added.notify_one();
+}
+
+/// Adds the crashes that this instance has confirmed to its evidence; `true` if there are new ones.
+fn record_crashes<P: Protocol>(node: &Node<P>) -> bool {
+    let mut state = node.quarantine.state.lock();
+    let super::State {
+        evidence, detect, ..
+    } = &mut *state;
+    let mut has_new = false;
+    for known in detect
+        .breaks
+        .iter_mut()
+        .filter(|b| b.confirmed && b.changed)
+    {
+        known.changed = false;
+        has_new = true;
+        evidence.record_crash(endpoint_hash(&known.endpoint), known.at, &known.segments);
+        let segments: Vec<String> = known.segments.iter().map(|s| format!("{s:x}")).collect();
+        emit!(
+            warn,
+            event::ENDPOINT_CRASHED,
+            endpoint = &*known.endpoint.registration.name,
+            segments = segments.join(","),
+        );
+    }
+    has_new
+}
+
+/// Quarantines the segments that the evidence convicts.
+fn evaluate<P: Protocol>(node: &Node<P>, now: Duration) -> Evaluation {
+    let evaluation = node.quarantine.state.lock().evidence.evaluate(now);
+    for culprit in &evaluation.culprits {
+        node.quarantine.add(culprit, Source::Own);
+    }
+    evaluation
+}
+
+/// Sends the recent crashes that this instance has seen to the hubs.
+async fn send_crashes<P: Protocol>(node: &Node<P>, now: Duration) {
+    let evidence = recent_evidence(&node.quarantine.state.lock(), now);
+    if !evidence.crashes.is_empty() {
+        exchange::send_to_hubs(node, &Message::Evidence(evidence)).await;
+    }
+}
+
+/// Recent crashes that this instance has seen, and its answers to requests with their segments.
+fn recent_evidence(state: &super::State, now: Duration) -> Evidence {
+    let recent = state.detect.breaks.iter().rev();
+    let recent = recent.filter(|b| b.confirmed && now < b.at + SEND_HORIZON);
+    let mut room = MAX_SENT_SEGMENTS;
+    let crashes: Vec<Crash> = recent
+        .take(MAX_SENT_CRASHES)
+        .map(|known| {
+            let count = known.segments.len().min(room);
+            room -= count;
+            Crash {
+                endpoint: endpoint_hash(&known.endpoint),
+                age_ms: exchange::whole_millis(now.saturating_sub(known.at)),
+                segments: known.segments[..count].to_vec(),
+            }
+        })
+        .collect();
+    let segments = crashes.iter().flat_map(|crash| &crash.segments);
+    let answers = own_answers(state, segments, now);
+    Evidence { crashes, answers }
+}
+
+/// Last answers to requests with these segments, as age in milliseconds.
+fn own_answers<'a>(
+    state: &super::State,
+    segments: impl Iterator<Item = &'a u64>,
+    now: Duration,
+) -> Vec<(u64, u32)> {
+    let mut answers: Vec<(u64, u32)> = segments
+        .filter_map(|segment| {
+            let at = state.evidence.last_answer(*segment)?;
+            let age = now.saturating_sub(at);
+            Some((*segment, exchange::whole_millis(age)))
+        })
+        .collect();
+    answers.sort_unstable();
+    answers.dedup();
+    answers
+}
+
+/// Tells all other instances, from a hub, which segments are suspects and which are quarantined
+/// but not in the table.
+async fn send_suspects<P: Protocol>(node: &Node<P>, evaluation: &Evaluation) {
+    if node.hub_rank().is_none() {
+        return;
+    }
+    let suspects = suspects(&node.quarantine.state.lock(), evaluation);
+    if !suspects.open.is_empty() || !suspects.culprits.is_empty() {
+        exchange::send_all(node, &Message::Suspects(suspects)).await;
+    }
+}
+
+fn suspects(state: &super::State, evaluation: &Evaluation) -> Suspects {
+    let unwritten = |culprit: &&Culprit| {
+        let index = state.find(culprit.segment);
+        index.is_ok_and(|index| state.records[index].revision.is_none())
+    };
+    let culprits = evaluation.culprits.iter().filter(unwritten);
+    Suspects {
+        open: evaluation.open.clone(),
+        culprits: culprits
+            .map(|culprit| (culprit.segment, culprit.crashes, culprit.is_ambiguous))
+            .collect(),
+    }
+}
+
+/// Adds the evidence of another instance.
+pub fn handle_evidence<P: Protocol>(node: &Node<P>, message: &Evidence) {
+    let now = clock::now();
+    let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(u64::from(age_ms)));
+    let mut state = node.quarantine.state.lock();
+    for crash in &message.crashes {
+        let segments = &crash.segments;
+        state
+            .evidence
+            .record_crash(crash.endpoint, at(crash.age_ms), segments);
+    }
+    drop(state);
+    for &(segment, age_ms) in &message.answers {
+        node.quarantine.record_answer(segment, at(age_ms));
+    }
+    node.quarantine.evidence_added.notify_one();
+}
+
+/// Applies the quarantines that a hub reports, and tells it of the answers that this instance has
+/// seen to requests with the suspects.
+pub async fn handle_suspects<P: Protocol>(node: &Node<P>, message: &Suspects, from: SocketAddr) {
+    let now = clock::now();
+    for &(segment, crashes, is_ambiguous) in &message.culprits {
+        let culprit = Culprit {
+            segment,
+            crashes,
+            is_ambiguous,
+        };
+        node.quarantine.add(&culprit, Source::Report(now));
+    }
+    let culprits = message.culprits.iter().map(|(segment, ..)| segment);
+    let segments = message.open.iter().chain(culprits);
+    let answers = own_answers(&node.quarantine.state.lock(), segments, now);
+    if !answers.is_empty() {
+        let evidence = Evidence {
+            crashes: Vec::new(),
+            answers,
+        };
+        exchange::send(node, &Message::Evidence(evidence), from).await;
+    }
+}
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -50,6 +50,8 @@
     Overloaded,
     /// The deadline of the request has passed.
     DeadlineExceeded,
+    /// A segment of the prompt crashes engines.
+    SegmentQuarantined,
     /// The endpoint failed, and the request may have run.
     EndpointFailed,
 }
@@ -68,6 +70,7 @@
             Reason::NoEndpoint => "no_endpoint",
             Reason::Overloaded => "overloaded",
             Reason::DeadlineExceeded => "deadline_exceeded",
+            Reason::SegmentQuarantined => "segment_quarantined",
             Reason::EndpointFailed => "endpoint_failed",
         }
     }
@@ -134,14 +137,17 @@
             | Reason::NoEndpoint
             | Reason::Overloaded
             | Reason::DeadlineExceeded
+            | Reason::SegmentQuarantined
                 if not_run =>
             {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-            Reason::NotReady | Reason::NoEndpoint | Reason::Overloaded | Reason::EndpointFailed => {
-                StatusCode::BAD_GATEWAY
-            }
+            Reason::NotReady
+            | Reason::NoEndpoint
+            | Reason::Overloaded
+            | Reason::SegmentQuarantined
+            | Reason::EndpointFailed => StatusCode::BAD_GATEWAY,
         }
     }
 
--- a/crates/router/src/states.rs
+++ b/crates/router/src/states.rs
@@ -16,6 +16,7 @@
         for rollout in self.rollouts.load().iter() {
             metrics.set_state("weights_wanted", &rollout.model, rollout.version);
         }
+        metrics.set_state("quarantined_segments", "", self.quarantine.len() as u64);
         let lease = self.lease.check(Duration::ZERO);
         metrics.set_state("lease_number", "", lease.map_or(0, |grant| grant.number));
         metrics.set_state("hub", "", u64::from(self.hub_rank().is_some()));
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -356,7 +356,11 @@
             time_left
         };
         match self.upstream.next(&mut self.last_event, timeout).await {
-            Ok(next) => Ok(next),
+            Ok(next) => {
+                // An engine that crashes on a segment may still send its first events.
+                self.upstream.selection.proof.record(&self.node, &self.call);
+                Ok(next)
+            }
             Err(failure) => self.resume(failure).await,
         }
     }
