Hubs alone evaluate crashes; a trial that reached no endpoint is kept

Causes: an instance that is no hub evaluated its own evidence, which lacked the segment that others had seen; and a claimed trial counted as used even if no endpoint ran the request.

Now an instance evaluates only if it is a hub or hears none, and a trial that reached no endpoint goes on with the request's next attempt or is given back.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -32,7 +32,7 @@
     },
     quarantine::{
         self,
-        Permit, //
+        Trial, //
     },
     quota::Charge,
     refusal::{
@@ -58,6 +58,8 @@
 pub struct Attempts {
     /// Charge against the workspace's limit.
     charge: Option<Charge>,
+    /// Set if the request is the trial of quarantined segments.
+    trial: Option<Trial>,
     record: Record,
 }
 
@@ -77,6 +79,7 @@
     pub fn new(charge: Option<Charge>) -> Self {
         Self {
             charge,
+            trial: None,
             record: Record::default(),
         }
     }
@@ -96,13 +99,15 @@
             if call.time_left() < MIN_TIME_LEFT {
                 return Err(self.deadline_refusal());
             }
-            let permit = match quarantine::check(node, call).await {
-                Ok(permit) => permit,
-                Err(refusal) => return Err(self.with_verdict(refusal)),
-            };
+            if self.trial.as_ref().is_none_or(Trial::is_spent) {
+                self.trial = match quarantine::check(node, call).await {
+                    Ok(trial) => trial,
+                    Err(refusal) => return Err(self.with_verdict(refusal)),
+                };
+            }
             let must_place = last_event.is_some()
                 || self.record.verdict() != Verdict::NotRun
-                || permit == Permit::Trial;
+                || self.trial.is_some();
             let selection = match choose::choose(node, call, self.record.tried(), must_place).await
             {
                 Ok(selection) => selection,
@@ -136,6 +141,9 @@
         if self.record.begin() == 1 {
             node.record_first_attempt(&call.service);
         }
+        if let Some(trial) = &mut self.trial {
+            trial.set_spent(true);
+        }
     }
 
     async fn try_endpoint<P: Protocol>(
@@ -253,6 +261,8 @@
         let may_have_run = failure.verdict != Verdict::NotRun;
         if may_have_run {
             self.spend_charge();
+        } else if let Some(trial) = &mut self.trial {
+            trial.set_spent(false);
         }
         if failure.fault == Fault::WeightsExpired {
             selection.record_rejection(node);
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -155,6 +155,16 @@
         hub::is_any_fresh(&observations.collect::<Vec<_>>())
     }
 
+    /// Whether a hub has sent a digest within the last few digest intervals, however old its view
+    /// of the table is.
+    pub fn hears_hub(&self, now: Duration) -> bool {
+        let state = self.state.lock();
+        state
+            .hubs
+            .iter()
+            .any(|hub| now.saturating_sub(hub.received_at) <= MAX_LAG)
+    }
+
     /// Records an answer of the table to this instance, with the time by the table's clock if any.
     pub fn record_table_answer(&self, now: Duration, clock: Option<Duration>) {
         let mut state = self.state.lock();
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -114,7 +114,7 @@
     /// Rate limits of workspaces.
     pub quotas: Arc<quota::Table>,
     /// Segments of prompts that crash engines.
-    pub quarantine: quarantine::Table,
+    pub quarantine: Arc<quarantine::Table>,
     /// Placement of model requests, by this or another instance.
     pub planner: planner::State,
     /// The lease that permits orders to engines.
@@ -163,7 +163,7 @@
             exchange: Exchange::bind(config.listen.exchange)?,
             peers: Client::new(peer::ANSWER_TIMEOUT),
             quotas: Arc::default(),
-            quarantine: quarantine::Table::default(),
+            quarantine: Arc::default(),
             planner: planner::State::default(),
             lease: Lease::default(),
             lease_row: Mutex::default(),
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -99,7 +99,38 @@
 #[derive(Debug)]
 struct Claim {
     segments: Vec<u64>,
-    granted: oneshot::Sender<bool>,
+    granted: oneshot::Sender<Trial>,
+}
+
+/// The trial of some segments. Dropping it unspent makes it available again.
+#[derive(Debug)]
+pub struct Trial {
+    table: Arc<Table>,
+    segments: Vec<u64>,
+    spent: bool,
+}
+
+impl Trial {
+    /// Sets whether an endpoint may have run the request.
+    pub fn set_spent(&mut self, spent: bool) {
+        self.spent = spent;
+    }
+
+    /// Whether an endpoint may have run the request.
+    pub fn is_spent(&self) -> bool {
+        self.spent
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        if !self.spent {
+            let mut state = self.table.state.lock();
+            state.unspent.append(&mut self.segments);
+            drop(state);
+            self.table.rows_outdated.notify_one();
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -112,6 +143,8 @@
     records: Vec<Record>,
     /// Claims that no task has taken yet.
     claims: Vec<Claim>,
+    /// Segments of trials that reached no endpoint.
+    unspent: Vec<u64>,
     /// Segments whose rows are to be deleted.
     releases: Vec<u64>,
     /// Segments whose rows were deleted last, with the revisions of the deletions: earlier changes
@@ -228,45 +261,36 @@
         );
     }
 
-    /// Claims a trial of these segments; `false` if another instance has claimed it, or if the
+    /// Claims a trial of these segments; `None` if another instance has claimed it, or if the
     /// table does not answer.
-    async fn claim(&self, segments: Vec<u64>) -> bool {
+    async fn claim(&self, segments: Vec<u64>) -> Option<Trial> {
         let (granted, answer) = oneshot::channel();
         let claim = Claim { segments, granted };
         self.state.lock().claims.push(claim);
         self.rows_outdated.notify_one();
         let answer = tokio::time::timeout(CLAIM_TIMEOUT, answer).await;
-        matches!(answer, Ok(Ok(true)))
+        answer.ok()?.ok()
     }
 }
 
-/// Permission to send a request to endpoints; a trial is sent once only.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Permit {
-    /// No segment of the request is quarantined.
-    Free,
-    /// The request is the trial of its quarantined segments.
-    Trial,
-}
-
-/// Checks whether a request may be sent to an endpoint.
+/// Checks whether a request may be sent to an endpoint; returns the trial if it may be sent as one.
 ///
 /// # Errors
 ///
 /// If one of its segments is quarantined and no trial is granted.
-pub async fn check<P: Protocol>(node: &Node<P>, call: &Call) -> Result<Permit, Refusal> {
+pub async fn check<P: Protocol>(node: &Node<P>, call: &Call) -> Result<Option<Trial>, Refusal> {
     let table = &node.quarantine;
     let entries = table.entries.load();
     if entries.is_empty() {
-        return Ok(Permit::Free);
+        return Ok(None);
     }
     let segments: Vec<u64> = call.shared_segments().collect();
     let retry_after = match quarantine::check(&entries, &segments, clock::now()) {
-        Admission::Admit => return Ok(Permit::Free),
+        Admission::Admit => return Ok(None),
         Admission::Try(tried) => {
             drop(entries);
-            if table.claim(tried).await {
-                return Ok(Permit::Trial);
+            if let Some(trial) = table.claim(tried).await {
+                return Ok(Some(trial));
             }
             MAX_RETRY_DELAY
         }
--- a/crates/router/src/quarantine/detect.rs
+++ b/crates/router/src/quarantine/detect.rs
@@ -215,8 +215,12 @@
     has_new
 }
 
-/// Quarantines the segments that the evidence convicts.
+/// Quarantines the segments that the evidence convicts. This is left to the hubs while any is
+/// heard, since they have the evidence of all instances.
 fn evaluate<P: Protocol>(node: &Node<P>, now: Duration) -> Evaluation {
+    if node.hub_rank().is_none() && node.exchange.hears_hub(now) {
+        return Evaluation::default();
+    }
     let evaluation = node.quarantine.state.lock().evidence.evaluate(now);
     for culprit in &evaluation.culprits {
         node.quarantine.add(culprit, Source::Own);
--- a/crates/router/src/quarantine/rows.rs
+++ b/crates/router/src/quarantine/rows.rs
@@ -31,7 +31,8 @@
     MAX_RECORDS,
     REPORT_HORIZON,
     Record,
-    Source, //
+    Source,
+    Trial, //
 };
 use crate::{
     QUARANTINE,
@@ -141,6 +142,7 @@
         }
         drop_old_reports(node);
         write_new(node, table).await;
+        write_unspent(node, table).await;
         delete_released(node, table).await;
     }
 }
@@ -233,10 +235,13 @@
         None => None,
     };
     let (Some(rows), Some(revision)) = (rows, revision) else {
-        // Fails if the request no longer waits.
-        claim.granted.send(false).ok();
         return;
     };
+    let trial = Trial {
+        table: node.quarantine.clone(),
+        segments: claim.segments,
+        spent: false,
+    };
     for (segment, _, row) in &rows {
         let due = now + trial_delay(row.trials, false);
         set_written(&node, *segment, row.trials, due, revision);
@@ -247,7 +252,33 @@
             trials = row.trials,
         );
     }
-    claim.granted.send(true).ok();
+    // Fails if the request no longer waits; the trial is then dropped.
+    claim.granted.send(trial).ok();
+}
+
+/// Makes the trials available again that reached no endpoint.
+async fn write_unspent<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
+    let now = clock::now();
+    let segments = std::mem::take(&mut node.quarantine.state.lock().unspent);
+    for segment in segments {
+        let Some((revision, row)) = unspent_row(node, segment, now) else {
+            continue;
+        };
+        // If the table does not answer, the next trial follows at its time.
+        if let Some(written) = write(table, &[(segment, revision, row)]).await {
+            set_written(node, segment, row.trials, now, written);
+        }
+    }
+}
+
+fn unspent_row<P: Protocol>(node: &Node<P>, segment: u64, now: Duration) -> Option<(u64, Row)> {
+    let state = node.quarantine.state.lock();
+    let record = state.records[state.find(segment).ok()?];
+    let row = Row {
+        trials: record.trials.saturating_sub(1),
+        due: node.exchange.table_time(now)?,
+    };
+    Some((record.revision?, row))
 }
 
 /// The rows that claim the next trial of each segment, with the revisions that they replace; `None`
