Dates a version that was named while all instances were down by the rows before it

The platform saw requests begin on superseded weights after their term. Cause: an instance dated a version without a record of its first sighting by its own start. There is no record if all instances are killed before one of them writes it, or if the version is named while all are down; the term was then longer by the time for which they were down.

Ruled out: to record when the version was found, which repeats the error everywhere.

A version that an instance finds in the first rows that it reads counts as old, so that nothing is sent to its predecessors, until it is dated: by its record, or else by the latest row of an instance that precedes the version's row in the table; those rows now say when they were written. An instance writes its own row only after this, since the new row replaces the old one.

--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -8,14 +8,26 @@
 /// Fraction of the term that is left for a request to begin while no delay has been observed.
 const INITIAL_MARGIN_FRACTION: f64 = 0.25;
 
+/// How the time at which a version was first seen is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Evidence {
+    /// This instance saw operators name the version.
+    Seen,
+    /// This instance found the version when it started, as of this revision of the table.
+    Found(u64),
+    /// No instance saw operators name the version; they did so at that time or later.
+    Estimated,
+    /// The time is recorded where all instances find it.
+    Recorded,
+}
+
 /// A version that operators have named.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Entry {
     version: u64,
-    /// When an instance first saw the version.
+    /// When an instance first saw the version; 0 if that may have been at any time.
     first_seen: Duration,
-    /// Whether `first_seen` is recorded where all instances find it.
-    is_recorded: bool,
+    evidence: Evidence,
 }
 
 /// Versions of the weights of one model, each with the time at which it was first seen.
@@ -30,13 +42,35 @@
 impl Versions {
     /// Adds a version that this instance sees at `now`; no effect if it is known.
     pub fn add(&mut self, version: u64, now: Duration) {
-        if let Err(index) = self.find(version) {
-            let entry = Entry {
-                version,
-                first_seen: now,
-                is_recorded: false,
-            };
-            self.entries.insert(index, entry);
+        self.insert(version, now, Evidence::Seen);
+    }
+
+    /// Adds a version that this instance found when it started, in a row that was last changed at
+    /// `revision`; no effect if it is known. Until more is known, its predecessors count as
+    /// superseded long ago.
+    pub fn add_found(&mut self, version: u64, revision: u64) {
+        self.insert(version, Duration::ZERO, Evidence::Found(revision));
+    }
+
+    /// Versions that were found and not yet dated, each with the revision of its row.
+    pub fn found(&self) -> impl Iterator<Item = (u64, u64)> {
+        self.entries
+            .iter()
+            .filter_map(|entry| match entry.evidence {
+                Evidence::Found(revision) => Some((entry.version, revision)),
+                _ => None,
+            })
+    }
+
+    /// Dates a version that was found by the latest time that is known to precede its naming; 0 if
+    /// none is known.
+    pub fn estimate(&mut self, version: u64, no_earlier_than: Duration) {
+        if let Ok(index) = self.find(version)
+            && let entry = &mut self.entries[index]
+            && matches!(entry.evidence, Evidence::Found(_))
+        {
+            entry.first_seen = no_earlier_than;
+            entry.evidence = Evidence::Estimated;
         }
     }
 
@@ -46,14 +80,21 @@
         self.add(version, first_seen);
         if let Ok(index) = self.find(version) {
             let entry = &mut self.entries[index];
-            entry.first_seen = entry.first_seen.min(first_seen);
-            entry.is_recorded = true;
+            entry.first_seen = match entry.evidence {
+                Evidence::Seen | Evidence::Recorded => entry.first_seen.min(first_seen),
+                Evidence::Found(_) | Evidence::Estimated => first_seen,
+            };
+            entry.evidence = Evidence::Recorded;
         }
     }
 
-    /// Versions without a record, each with the time at which this instance first saw it.
+    /// Versions without a record, each with the time to record.
     pub fn unrecorded(&self) -> impl Iterator<Item = (u64, Duration)> {
-        let entries = self.entries.iter().filter(|entry| !entry.is_recorded);
+        let entries = self.entries.iter().filter(|entry| match entry.evidence {
+            Evidence::Seen => true,
+            Evidence::Estimated => !entry.first_seen.is_zero(),
+            Evidence::Found(_) | Evidence::Recorded => false,
+        });
         entries.map(|entry| (entry.version, entry.first_seen))
     }
 
@@ -63,6 +104,17 @@
         self.entries.get(newer).map(|entry| entry.first_seen)
     }
 
+    fn insert(&mut self, version: u64, first_seen: Duration, evidence: Evidence) {
+        if let Err(index) = self.find(version) {
+            let entry = Entry {
+                version,
+                first_seen,
+                evidence,
+            };
+            self.entries.insert(index, entry);
+        }
+    }
+
     fn find(&self, version: u64) -> Result<usize, usize> {
         self.entries.binary_search_by_key(&version, |e| e.version)
     }
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -45,6 +45,36 @@
     assert_eq!(versions.superseded_at(1), Some(at(4_000)));
 }
 
+/// Guards against a term that is counted from the start of an instance: a version that it finds then
+/// may have been named at any time, until a record or an earlier row of the table tells more.
+#[test]
+fn a_version_found_at_the_start_counts_as_old_until_it_is_dated() {
+    let mut versions = Versions::default();
+    versions.add_found(2, 7);
+    assert_eq!(versions.superseded_at(1), Some(Duration::ZERO));
+    assert_eq!(versions.found().collect::<Vec<_>>(), [(2, 7)]);
+    assert_eq!(versions.unrecorded().count(), 0);
+    versions.estimate(2, at(3_000));
+    assert_eq!(versions.superseded_at(1), Some(at(3_000)));
+    assert_eq!(versions.found().count(), 0);
+    assert_eq!(versions.unrecorded().collect::<Vec<_>>(), [(2, at(3_000))]);
+    versions.record(2, at(4_000));
+    assert_eq!(versions.superseded_at(1), Some(at(4_000)));
+    assert_eq!(versions.unrecorded().count(), 0);
+}
+
+/// An instance without any earlier row to go by writes no date: it would be taken for a sighting.
+#[test]
+fn a_version_of_unknown_age_is_not_recorded() {
+    let mut versions = Versions::default();
+    versions.add_found(2, 7);
+    versions.estimate(2, Duration::ZERO);
+    assert_eq!(versions.superseded_at(1), Some(Duration::ZERO));
+    assert_eq!(versions.unrecorded().count(), 0);
+    versions.record(2, at(4_000));
+    assert_eq!(versions.superseded_at(1), Some(at(4_000)));
+}
+
 /// While queues are long, requests stop going to superseded weights earlier.
 #[test]
 fn the_margin_before_the_end_of_the_term_follows_the_observed_delay() {
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -52,6 +52,9 @@
     /// Chosen at random at each start, so that the rows of different incarnations differ.
     #[serde(rename = "life")]
     pub incarnation: u64,
+    /// Time just before the row was written, in milliseconds by the table's clock, if known.
+    #[serde(default)]
+    pub written_ms: Option<u64>,
 }
 
 /// One instance.
--- a/crates/router/src/mirror.rs
+++ b/crates/router/src/mirror.rs
@@ -219,6 +219,18 @@
             .collect()
     }
 
+    /// Values of the rows whose key begins with `prefix` and that were last changed before
+    /// `revision`.
+    pub fn values_before(&self, prefix: &str, revision: u64) -> Vec<Vec<u8>> {
+        let snapshot = self.snapshot.lock();
+        let first = snapshot.rows.partition_point(|entry| *entry.key < *prefix);
+        let rows = snapshot.rows[first..].iter();
+        rows.take_while(|entry| entry.key.starts_with(prefix))
+            .filter(|entry| entry.revision < revision)
+            .map(|entry| entry.value.clone())
+            .collect()
+    }
+
     /// All rows, for another instance.
     pub fn snapshot(&self) -> Snapshot {
         self.snapshot.lock().clone()
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -210,13 +210,18 @@
 
     /// Applies changed rows of operators.
     pub fn apply_operator_changes(&self, changes: &[Change]) {
+        // The first rows were there before this instance started.
+        let is_first = !self.has_catalog();
         for change in changes {
             let Some(value) = &change.value else {
                 continue;
             };
             match P::read_operator_row(&change.key, value) {
                 Ok(OperatorRow::Catalog(catalog)) => self.activate(*catalog),
-                Ok(OperatorRow::Weights { model, version }) => self.set_rollout(model, version),
+                Ok(OperatorRow::Weights { model, version }) => {
+                    let found_at = is_first.then_some(change.revision);
+                    self.set_rollout(model, version, found_at);
+                }
                 Ok(OperatorRow::Other) => {}
                 Err(reason) => emit!(
                     warn,
@@ -268,6 +273,7 @@
             rollout::apply_progress(self, change);
             self.apply_instance_row(change);
         }
+        self.date_versions();
     }
 
     fn apply_instance_row(&self, change: &Change) {
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -243,7 +243,11 @@
 async fn maintain_row<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
     let mut written = false;
     loop {
-        if node.is_ready() {
+        // Versions are dated by the rows that other instances wrote, which their new ones replace.
+        if node.is_ready() && node.mirrors.instances.revision() > 0 {
+            if !written {
+                record_first_seen(node, table).await;
+            }
             written = write_row(node, table).await;
         }
         let interval = if written {
@@ -259,6 +263,7 @@
 /// Writes this instance's row; `false` if the write may have failed.
 pub async fn write_row<P: Protocol, W: Watch>(node: &Node<P>, table: &W) -> bool {
     let listen = &node.config.listen;
+    let written_at = node.exchange.table_time(clock::now());
     let row = Row {
         callers: listen.callers,
         peers: listen.peers,
@@ -267,6 +272,7 @@
         link_mbps: node.config.link_mbps as u32,
         leaving: node.is_stopping(),
         incarnation: node.incarnation,
+        written_ms: written_at.and_then(|at| u64::try_from(at.as_millis()).ok()),
     };
     // Strings and numbers always encode.
     let value = serde_json::to_vec(&row).unwrap_or_default();
--- a/crates/router/src/weights.rs
+++ b/crates/router/src/weights.rs
@@ -14,6 +14,8 @@
 
 use crate::{
     FIRST_SEEN,
+    INSTANCES,
+    instance,
     node::Node,
     protocol::Protocol, //
 };
@@ -40,8 +42,8 @@
     }
 
     /// Sets the version that the engines of `model` should serve, if it is newer than the current
-    /// one.
-    pub fn set_rollout(&self, model: String, version: u64) {
+    /// one. `found_at` is the revision of its row, if the row was there when this instance started.
+    pub fn set_rollout(&self, model: String, version: u64, found_at: Option<u64>) {
         let mut rollouts = Vec::clone(&self.rollouts.load());
         let known = rollouts.iter().position(|rollout| rollout.model == model);
         if known.is_some_and(|index| rollouts[index].version >= version) {
@@ -62,7 +64,10 @@
             rollouts.len() - 1
         });
         rollouts[index].version = version;
-        rollouts[index].versions.add(version, clock::now());
+        match found_at {
+            Some(revision) => rollouts[index].versions.add_found(version, revision),
+            None => rollouts[index].versions.add(version, clock::now()),
+        }
         self.store_rollouts(rollouts);
         self.rollout_wakeup.notify_one();
     }
@@ -98,12 +103,39 @@
                     rollout.versions.record(version, first_seen);
                 }
             }
+            self.estimate_found(&mut rollout.versions);
         }
         if dated != **rollouts {
             self.store_rollouts(dated);
         }
     }
 
+    /// Dates the versions that this instance found when it started and that have no record: all
+    /// instances may have been down when they were named.
+    fn estimate_found(&self, versions: &mut Versions) {
+        let is_table_read = self.mirrors.instances.revision() > 0;
+        let found: Vec<(u64, u64)> = versions.found().collect();
+        if found.is_empty() || !is_table_read || !self.exchange.knows_table_clock() {
+            return;
+        }
+        for (version, revision) in found {
+            let written_at = self.last_write_before(revision);
+            let first_seen = written_at.and_then(|at| self.exchange.local_time(at));
+            versions.estimate(version, first_seen.unwrap_or_default());
+        }
+    }
+
+    /// Time, by the table's clock, of the latest write of an instance's row that precedes a
+    /// revision of the table.
+    fn last_write_before(&self, revision: u64) -> Option<Duration> {
+        let rows = self.mirrors.instances.values_before(INSTANCES, revision);
+        let written_ms = rows.iter().filter_map(|value| {
+            let row: instance::Row = serde_json::from_slice(value).ok()?;
+            row.written_ms
+        });
+        written_ms.max().map(Duration::from_millis)
+    }
+
     fn store_rollouts(&self, rollouts: Vec<Rollout>) {
         self.rollouts.store(Arc::new(rollouts));
         self.rollouts_changed.notify_waiters();
--- a/crates/router/tests/tables.rs
+++ b/crates/router/tests/tables.rs
@@ -231,6 +231,7 @@
         link_mbps: 10,
         leaving: false,
         incarnation: 1,
+        written_ms: None,
     }
 }
 
