Cancels whole answers that have not begun within the term, also after their head

Cause: the term of superseded weights was watched until the head of an answer had come, and for streams until the first event. For whole answers nobody watched between the head and the body, and an engine may send the head before it begins.

Now a whole answer is cancelled too if no byte of its body comes within the term; one that has begun is read to its end.

--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -5,6 +5,7 @@
 //! another request, so that no leftover bytes can reach another caller.
 
 use std::{
+    error::Error,
     net::SocketAddr,
     sync::Arc,
     time::{
@@ -126,6 +127,21 @@
         self,
         limit_bytes: usize,
         timeout: Duration,
+    ) -> Result<(Parts, Bytes), Failure> {
+        let expired = std::future::pending();
+        self.collect_begun(limit_bytes, timeout, expired).await
+    }
+
+    /// Like [`Answer::collect`], unless `expired` completes before the body begins.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Answer::collect`], and the failure that `expired` returns.
+    pub async fn collect_begun(
+        self,
+        limit_bytes: usize,
+        timeout: Duration,
+        expired: impl Future<Output = Failure>,
     ) -> Result<(Parts, Bytes), Failure> {
         let address = self.lease.connection.target().address;
         let failed = |fault| Failure {
@@ -133,12 +149,24 @@
             verdict: Verdict::MayHaveRun,
             fault,
         };
-        let collected = Limited::new(self.body, limit_bytes).collect();
-        let body = match tokio::time::timeout(timeout, collected).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(error)) => return Err(failed(Fault::Truncated(error.to_string()))),
-            Err(_) => return Err(failed(Fault::Timeout)),
+        let truncated =
+            |error: Box<dyn Error + Send + Sync>| failed(Fault::Truncated(error.to_string()));
+        let mut body = Limited::new(self.body, limit_bytes);
+        let collected = async {
+            let first = tokio::select! {
+                first = body.frame() => first.transpose().map_err(truncated)?,
+                failure = expired => return Err(failure),
+            };
+            let first = first.and_then(|frame| frame.into_data().ok());
+            let first = first.unwrap_or_default();
+            let rest = body.collect().await.map_err(truncated)?.to_bytes();
+            if rest.is_empty() {
+                return Ok(first);
+            }
+            Ok([first, rest].concat().into())
         };
+        let collected = tokio::time::timeout(timeout, collected).await;
+        let body = collected.unwrap_or_else(|_| Err(failed(Fault::Timeout)))?;
         self.lease.release();
         Ok((self.head, body))
     }
--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -87,14 +87,17 @@
 ///
 /// # Errors
 ///
-/// If the answer is incomplete, larger than 8 MiB, or late for the request's deadline.
+/// If the answer is incomplete, larger than 8 MiB, or late for the request's deadline, or if it
+/// does not begin within the term of the weights.
 pub async fn collect_answer<P: Protocol>(
     node: &Node<P>,
     call: &Call,
     selection: &Selection,
     answer: Answer,
 ) -> Result<(Parts, Bytes), endpoint::Failure> {
-    let result = answer.collect(MAX_ANSWER_BYTES, call.time_left()).await;
+    let expired = selection.weights_expired(node, call);
+    let result = answer.collect_begun(MAX_ANSWER_BYTES, call.time_left(), expired);
+    let result = result.await;
     if result.is_ok() {
         selection.record_first_token(node);
     }
