The margin before the end of the term follows the delay of each class of requests

Cause: the time until answers begin was estimated for a service as a whole. Urgent requests are many and begin first, so that the estimate was theirs; less urgent ones were sent to superseded weights until shortly before the end, waited there, and were cancelled or, at engines that do not notice a closed connection, began after the term.

The estimate is kept for each class now. A class without an answer so far keeps a quarter of the term, as before a service without one.

--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -99,7 +99,7 @@
     let result = answer.collect_begun(MAX_ANSWER_BYTES, call.time_left(), expired);
     let result = result.await;
     if result.is_ok() {
-        selection.record_first_token(node);
+        selection.record_first_token(node, call.class());
     }
     result
 }
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -18,6 +18,7 @@
     belief::Holder,
     weights, //
 };
+use settings::Class;
 use state::{
     clock,
     flight::Guard,
@@ -200,10 +201,10 @@
     }
 
     /// Records the first byte or event of the answer.
-    pub fn record_first_token<P: Protocol>(&self, node: &Node<P>) {
+    pub fn record_first_token<P: Protocol>(&self, node: &Node<P>, class: Class) {
         let service = &self.endpoint.registration.service;
-        node.observed
-            .record_start(service, clock::now().saturating_sub(self.sent_at));
+        let delay = clock::now().saturating_sub(self.sent_at);
+        node.observed.record_start(service, class, delay);
         self.health
             .update_estimate(|estimate| estimate.breaker.record_success());
         self.guard.record_first_token();
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -301,7 +301,7 @@
     query: &Query<'_>,
     superseded_at: Duration,
 ) -> bool {
-    let delay = node.observed.start_delay(query.service);
+    let delay = node.observed.start_delay(query.service, query.class);
     weights::may_send(
         superseded_at,
         clock::now(),
--- a/crates/router/src/observed.rs
+++ b/crates/router/src/observed.rs
@@ -10,18 +10,22 @@
     delay::Delay,
     shed::Lateness, //
 };
+use settings::Class;
 use state::{
     clock,
     sorted, //
 };
 
+/// Number of priority classes.
+const CLASSES: usize = 3;
+
 /// Observations of one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Service {
     /// How late the most urgent requests start.
     lateness: Lateness,
-    /// Time from the sending of a request to the start of its answer.
-    start_delay: Delay,
+    /// Time from the sending of a request to the start of its answer, by class.
+    start_delays: [Delay; CLASSES],
 }
 
 /// Observations, by service.
@@ -41,8 +45,8 @@
     }
 
     /// Records that an answer of a service began `delay` after the request was sent.
-    pub fn record_start(&self, service: &Arc<str>, delay: Duration) {
-        self.with(service, |s| s.start_delay.record(delay));
+    pub fn record_start(&self, service: &Arc<str>, class: Class, delay: Duration) {
+        self.with(service, |s| s.start_delays[index(class)].record(delay));
     }
 
     /// Fraction of the less urgent requests at a service to refuse, from 0 to 1.
@@ -51,13 +55,21 @@
         self.with(service, |s| s.lateness.refusal_rate(now))
     }
 
-    /// Time in which almost all answers of a service begin after their requests are sent; `None`
-    /// before the first one.
-    pub fn start_delay(&self, service: &Arc<str>) -> Option<Duration> {
-        self.with(service, |s| s.start_delay.upper_bound())
+    /// Time in which almost all answers to a class of requests at a service begin after the requests
+    /// are sent; `None` before the first one.
+    pub fn start_delay(&self, service: &Arc<str>, class: Class) -> Option<Duration> {
+        self.with(service, |s| s.start_delays[index(class)].upper_bound())
     }
 
     fn with<T>(&self, service: &Arc<str>, update: impl FnOnce(&mut Service) -> T) -> T {
         update(sorted::entry(&mut self.services.lock(), service))
     }
 }
+
+fn index(class: Class) -> usize {
+    match class {
+        Class::Urgent => 0,
+        Class::Normal => 1,
+        Class::MayWait => 2,
+    }
+}
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -168,7 +168,7 @@
             };
             match upstream.first(node, call, last_event).await {
                 Ok(Some(first)) => {
-                    upstream.selection.record_first_token(node);
+                    upstream.selection.record_first_token(node, call.class());
                     if call.class() == Class::Urgent {
                         let delay = call.arrived_at.elapsed();
                         let objective = call.route.objective;
