Policy: tell a crashing segment from those of sound requests and mass failures

Crashes now count only if a quarter of those around them hold the segment and they are spread over two moments, or three if it was answered before, or if nothing was answered for 1.5 s; a segment is found no sooner than 300 ms after it was first reported as open. Segments that account for nearly the same crashes are all ambiguous. Unripe suspects no longer account for crashes. evaluate() takes &mut self for this.

Trials of ambiguous segments come after 1 s and 5 s more, are spread over 2 s, and requests with several quarantined segments wait 10 s longer.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -7,13 +7,18 @@
 
 /// Time from the quarantine to the first trial.
 const FIRST_DELAY: Duration = Duration::from_secs(5);
+/// The same if other segments were present in the same crashes: time in which all instances learn
+/// of the quarantine and requests that were sent before it end.
+const AMBIGUOUS_DELAY: Duration = Duration::from_secs(1);
 /// Factor from one delay to the next.
 const DELAY_FACTOR: u32 = 3;
 /// Longest delay between trials.
 const MAX_DELAY: Duration = Duration::from_secs(600);
 /// How much later a request with several quarantined segments may be tried, so that requests with
 /// only one of them are tried first and the crash of one segment does not delay the others.
-const JOINT_DELAY: Duration = Duration::from_secs(2);
+const JOINT_DELAY: Duration = Duration::from_secs(10);
+/// Period over which trials that are due together are spread.
+const TRIAL_SPREAD: Duration = Duration::from_secs(2);
 /// Shortest time after which a refused caller may return.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -26,6 +31,16 @@
     pub due: Duration,
 }
 
+impl Entry {
+    /// When the trial may start: at a time after `due` that depends on the segment, so that the
+    /// trials of segments that were quarantined together do not run on one engine at the same time.
+    fn start(&self) -> Duration {
+        let seed = self.segment ^ self.due.as_secs();
+        let millis = crate::mix::mix(seed) % TRIAL_SPREAD.as_millis() as u64;
+        self.due + Duration::from_millis(millis)
+    }
+}
+
 /// What to do with a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -50,7 +65,7 @@
     let mut held: Vec<Entry> = segments.iter().filter_map(find).collect();
     held.sort_unstable_by_key(|entry| entry.segment);
     held.dedup();
-    let Some(latest) = held.iter().map(|entry| entry.due).max() else {
+    let Some(latest) = held.iter().map(Entry::start).max() else {
         return Admission::Admit;
     };
     let due = if held.len() == 1 {
@@ -70,11 +85,14 @@
 /// Time to the next trial from the quarantine, or from the claim of trial number `trials` (the
 /// first is 1).
 ///
-/// An ambiguous segment may be tried at once, since it may well be harmless.
+/// The first two trials of an ambiguous segment come early, since it may well be harmless.
 pub fn trial_delay(trials: u32, is_ambiguous: bool) -> Duration {
-    if trials == 0 && is_ambiguous {
-        return Duration::ZERO;
+    match (trials, is_ambiguous) {
+        (0, true) => AMBIGUOUS_DELAY,
+        (1, true) => FIRST_DELAY,
+        _ => {
+            let factor = DELAY_FACTOR.saturating_pow(trials);
+            FIRST_DELAY.saturating_mul(factor).min(MAX_DELAY)
+        }
     }
-    let factor = DELAY_FACTOR.saturating_pow(trials);
-    FIRST_DELAY.saturating_mul(factor).min(MAX_DELAY)
 }
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -1,42 +1,61 @@
 //! Prompt segments that crash engines, found from the crashes that all instances saw.
 //!
-//! A crash counts for a segment if a request with the segment was running on the engine and no
-//! request with the segment has been answered since. The smallest set of segments that accounts
-//! for the crashes is looked for greedily: the segment with the most crashes is a culprit, its
-//! crashes are accounted for, and the others are judged by the remaining ones. A segment that was
-//! only ever present together with a culprit is therefore never one itself.
+//! A crash counts for a segment if a request with the segment was on the engine and no request with
+//! the segment has been answered since. The smallest set of segments that accounts for the crashes
+//! is looked for greedily: the segment with the most crashes is a culprit, and the others are
+//! judged by the crashes that remain. A segment that was only present together with a culprit is
+//! therefore not found. Segments that account for nearly the same crashes cannot be told apart;
+//! all of them are found, as ambiguous.
 //!
-//! Segments without any known answer are considered first, the others only for the crashes that
-//! remain, and with stricter conditions: those are in use by sound requests.
+//! Many engines may also crash at once for another reason, together with all requests on them.
+//! Crashes count only in part as proof if they are close together, and a segment is found no sooner
+//! than other instances had the time to tell that they got an answer to a request with it.
+//!
+//! An evaluation needs the reports of all instances: the crashes that one instance saw are no sign
+//! of what the requests of the others held.
+
+mod answers;
+mod crash;
+
+use std::{
+    cmp::Reverse,
+    time::Duration, //
+};
 
-use std::time::Duration;
+use self::{
+    answers::Answers,
+    crash::{
+        Log,
+        Presence, //
+    }, //
+};
 
 /// Number of crashes from which a segment may be a culprit.
 const MIN_CRASHES: usize = 3;
 /// Number of crashes from which other instances are asked for their last answer.
 const MIN_OPEN_CRASHES: usize = 2;
-/// Crashes closer together than this may have one common cause outside of the requests.
+/// Crashes closer together than this may have one cause outside of the requests.
 const MOMENT: Duration = Duration::from_millis(500);
-/// Number of moments over which the crashes of a segment must be spread that was answered before.
+/// Number of moments over which the crashes of a segment must be spread.
+const MIN_MOMENTS: usize = 2;
+/// The same for a segment that was answered before.
 const MIN_ANSWERED_MOMENTS: usize = 3;
-/// Reports of an endpoint's crash no further apart than this are about the same crash.
-const MERGE_WINDOW: Duration = Duration::from_secs(1);
-/// Age at which a crash is dropped.
-const HORIZON: Duration = Duration::from_secs(600);
-/// Largest number of crashes kept.
-const MAX_CRASHES: usize = 1024;
-/// Largest number of segments kept of one crash.
-const MAX_SEGMENTS: usize = 256;
-/// Largest number of segments kept of all crashes together.
-const MAX_TOTAL_SEGMENTS: usize = 65_536;
+/// Crashes closer together than this may be one failure of several engines.
+const SHORT_MOMENT: Duration = Duration::from_millis(50);
+/// Number of short moments that suffice after a silence if hardly any other engine crashed.
+const MIN_SHORT_MOMENTS: usize = 3;
+/// Time without an answer after which fewer moments suffice.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time in which the reports of other instances arrive.
+const REPORT_TIME: Duration = Duration::from_millis(500);
+/// Time in which other instances tell the last answer to a request with a segment.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// A crash counts for a segment if one in so many of the crashes around it hold the segment.
+const MIN_SHARE: usize = 4;
 /// Largest number of segments that one evaluation finds.
 const MAX_CULPRITS: usize = 32;
 /// Largest number of segments of which answers are asked.
 const MAX_OPEN: usize = 32;
-/// Number of sets in the table of answers.
-const ANSWER_SETS: usize = 1024;
-/// Number of entries in a set of the table of answers.
-const ANSWER_WAYS: usize = 4;
 
 /// A segment that crashes engines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,7 +64,8 @@
     pub segment: u64,
     /// Number of crashes that it accounts for.
     pub crashes: u32,
-    /// Whether other segments were present in exactly the same crashes.
+    /// Whether the segment may well be harmless: other segments were present in nearly the same
+    /// crashes, or there were no answers but few crashes.
     pub is_ambiguous: bool,
 }
 
@@ -55,130 +75,70 @@
     /// Segments to quarantine, including those found by earlier evaluations that have not been
     /// answered since.
     pub culprits: Vec<Culprit>,
-    /// Other segments under suspicion, of which other instances should tell their last answer,
-    /// most crashes first.
+    /// Other segments under suspicion, of which other instances should tell their last answer;
+    /// first those that are about to be found, then those with most crashes.
     pub open: Vec<u64>,
     /// When to evaluate again although nothing new arrives.
     pub evaluate_at: Option<Duration>,
 }
 
-/// Last answers by segment: a set-associative table in which a new segment replaces the one of
-/// its set that was answered least recently.
+/// A segment with the crashes that count for it.
 #[derive(Clone, Debug)]
-struct Answers {
-    sets: Vec<[Option<(u64, Duration)>; ANSWER_WAYS]>,
+struct Suspect {
+    segment: u64,
+    was_answered: bool,
+    /// Indices of the crashes, in order of time.
+    crashes: Vec<usize>,
 }
 
-impl Answers {
-    fn set_index(segment: u64) -> usize {
-        crate::mix::mix(segment) as usize % ANSWER_SETS
-    }
-
-    fn record(&mut self, segment: u64, at: Duration) {
-        let set = &mut self.sets[Self::set_index(segment)];
-        if let Some((_, last)) = set.iter_mut().flatten().find(|entry| entry.0 == segment) {
-            *last = at.max(*last);
-            return;
-        }
-        if let Some(oldest) = set.iter_mut().min_by_key(|entry| entry.map(|(_, at)| at))
-            && oldest.is_none_or(|(_, oldest_at)| oldest_at <= at)
-        {
-            *oldest = Some((segment, at));
-        }
-    }
-
-    fn last(&self, segment: u64) -> Option<Duration> {
-        let set = &self.sets[Self::set_index(segment)];
-        let entry = set.iter().flatten().find(|entry| entry.0 == segment)?;
-        Some(entry.1)
+impl Suspect {
+    /// Indices of the crashes that no culprit accounts for.
+    fn remaining(&self, explained: &[bool]) -> impl Iterator<Item = usize> {
+        let crashes = self.crashes.iter().copied();
+        crashes.filter(|crash| !explained[*crash])
     }
 }
 
-/// Crash of one endpoint.
-///
-/// # Invariants
-///
-/// `segments` is sorted, without duplicates, and no longer than [`MAX_SEGMENTS`].
-#[derive(Clone, Debug)]
-struct Crash {
-    endpoint: u64,
-    /// Time of the earliest report.
-    first: Duration,
-    /// Time of the latest report.
-    last: Duration,
-    segments: Vec<u64>,
+/// When crashes suffice to find a segment.
+#[derive(Clone, Copy, Debug, Default)]
+struct Due {
+    /// Once they are spread over enough time.
+    settled: Option<Duration>,
+    /// Once there has been no answer for long.
+    silent: Option<Duration>,
 }
 
-impl Crash {
-    /// Adds what another report says about the same crash.
-    fn merge(&mut self, other: Self) {
-        self.first = self.first.min(other.first);
-        self.last = self.last.max(other.last);
-        self.segments.extend(other.segments);
-        self.limit_segments();
+impl Due {
+    fn earliest(self) -> Option<Duration> {
+        self.settled.into_iter().chain(self.silent).min()
     }
 
-    /// Sorts the segments and drops those above the limit. Which are dropped depends on the
-    /// endpoint, so that no segment is dropped from every crash.
-    fn limit_segments(&mut self) {
-        self.segments.sort_unstable();
-        self.segments.dedup();
-        if self.segments.len() > MAX_SEGMENTS {
-            let endpoint = self.endpoint;
-            let rank = |segment: &u64| crate::mix::mix(*segment ^ endpoint);
-            self.segments.sort_unstable_by_key(rank);
-            self.segments.truncate(MAX_SEGMENTS);
-            self.segments.sort_unstable();
+    /// When both this and `other` hold.
+    fn and(self, other: Self) -> Self {
+        let later = |one: Option<Duration>, two| one.zip(two).map(|(one, two)| one.max(two));
+        Self {
+            settled: later(self.settled, other.settled),
+            silent: later(self.earliest(), other.earliest()),
         }
     }
 }
 
-/// A segment present in a crash.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Presence {
-    segment: u64,
-    /// Index of the crash.
-    crash: usize,
-}
-
-/// A segment with the crashes that count for it.
-#[derive(Clone, Copy, Debug)]
-struct Suspect<'a> {
-    segment: u64,
-    was_answered: bool,
-    /// In order of time.
-    presences: &'a [Presence],
-}
-
-impl Suspect<'_> {
-    /// Indices of the crashes that no culprit accounts for.
-    fn remaining(&self, explained: &[bool]) -> impl Iterator<Item = usize> {
-        let crashes = self.presences.iter().map(|presence| presence.crash);
-        crashes.filter(|crash| !explained[*crash])
-    }
+/// Suspects that may be the cause of the same crashes.
+#[derive(Clone, Debug)]
+struct Group {
+    segments: Vec<u64>,
+    due: Due,
+    /// Indices of the crashes for which they account.
+    crashes: Vec<usize>,
 }
 
 /// Crashes and answers that the instances reported.
-///
-/// # Invariants
-///
-/// `crashes` is sorted by the time of the first report and the endpoint, and holds no more than
-/// [`MAX_CRASHES`] crashes with [`MAX_TOTAL_SEGMENTS`] segments together.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    crashes: Vec<Crash>,
+    log: Log,
     answers: Answers,
-}
-
-impl Default for Evidence {
-    fn default() -> Self {
-        Self {
-            crashes: Vec::new(),
-            answers: Answers {
-                sets: vec![[None; ANSWER_WAYS]; ANSWER_SETS],
-            },
-        }
-    }
+    /// Segments of the last evaluation, sorted, and since when others are asked about them.
+    asked: Vec<(u64, Duration)>,
 }
 
 impl Evidence {
@@ -188,25 +148,7 @@
     /// Reports of one crash by several instances are merged; they may be repeated and come in any
     /// order.
     pub fn record_crash(&mut self, endpoint: u64, at: Duration, segments: &[u64]) {
-        let mut crash = Crash {
-            endpoint,
-            first: at,
-            last: at,
-            segments: segments.to_vec(),
-        };
-        crash.limit_segments();
-        let is_same = |old: &mut Crash| {
-            old.endpoint == endpoint
-                && at + MERGE_WINDOW >= old.first
-                && at <= old.last + MERGE_WINDOW
-        };
-        for old in self.crashes.extract_if(.., is_same) {
-            crash.merge(old);
-        }
-        let key = |crash: &Crash| (crash.first, crash.endpoint);
-        let index = self.crashes.partition_point(|old| key(old) < key(&crash));
-        self.crashes.insert(index, crash);
-        self.drop_oldest();
+        self.log.record(endpoint, at, segments);
     }
 
     /// Records that a request with `segment` was answered at `at`; the latest time counts.
@@ -220,17 +162,22 @@
     }
 
     /// Finds the segments that crash engines.
-    pub fn evaluate(&self, now: Duration) -> Evaluation {
-        let presences = self.presences(now);
-        let mut suspects: Vec<Suspect<'_>> = presences
+    ///
+    /// Segments without a known answer are considered first, the others for the crashes that
+    /// remain, since sound requests use them.
+    pub fn evaluate(&mut self, now: Duration) -> Evaluation {
+        let presences = self.log.presences(now);
+        let mut suspects: Vec<Suspect> = presences
             .chunk_by(|one, next| one.segment == next.segment)
+            .filter(|presences| presences.len() >= MIN_OPEN_CRASHES)
             .map(|presences| self.suspect(presences))
-            .filter(|suspect| suspect.presences.len() >= MIN_OPEN_CRASHES)
+            .filter(|suspect| suspect.crashes.len() >= MIN_OPEN_CRASHES)
             .collect();
+        suspects.sort_by_key(|suspect| Reverse(suspect.crashes.len()));
+        let mut explained = vec![false; self.log.len()];
         let mut evaluation = Evaluation::default();
-        let mut explained = vec![false; self.crashes.len()];
         for was_answered in [false, true] {
-            self.explain(
+            self.find(
                 now,
                 was_answered,
                 &mut suspects,
@@ -238,124 +185,211 @@
                 &mut evaluation,
             );
         }
-        suspects.sort_by_key(|suspect| std::cmp::Reverse(suspect.presences.len()));
-        let open = suspects.iter().map(|suspect| suspect.segment);
-        evaluation.open = open.take(MAX_OPEN).collect();
+        for suspect in &suspects {
+            if evaluation.open.len() >= MAX_OPEN {
+                break;
+            }
+            if !evaluation.open.contains(&suspect.segment) {
+                evaluation.open.push(suspect.segment);
+            }
+        }
+        self.remember_asked(now, &evaluation);
         evaluation
     }
 
-    /// Moves the segments with most crashes from `suspects` to the culprits, as long as there are
-    /// any with enough crashes that are not `explained`.
-    fn explain(
+    /// Moves culprits from the suspects with or without an answer to the evaluation, and marks the
+    /// crashes that they account for as explained.
+    fn find(
         &self,
         now: Duration,
         was_answered: bool,
-        suspects: &mut Vec<Suspect<'_>>,
+        suspects: &mut Vec<Suspect>,
         explained: &mut [bool],
         evaluation: &mut Evaluation,
     ) {
-        for _ in 0..MAX_CULPRITS {
-            let eligible = suspects
-                .iter()
-                .filter(|suspect| suspect.was_answered == was_answered);
-            let best = eligible
-                .map(|suspect| (suspect.remaining(explained).count(), *suspect))
-                .max_by_key(|(count, suspect)| (*count, suspect.segment));
-            let Some((count, best)) = best.filter(|(count, _)| *count >= MIN_CRASHES) else {
+        // Segments of which it is too early to tell. They explain nothing, so that a segment that
+        // accounts for fewer crashes can be found before them.
+        let mut deferred: Vec<u64> = Vec::new();
+        while evaluation.culprits.len() < MAX_CULPRITS && deferred.len() < MAX_OPEN {
+            let eligible = suspects.iter().filter(|suspect| {
+                suspect.was_answered == was_answered && !deferred.contains(&suspect.segment)
+            });
+            let Some(best) = self.best(eligible, explained) else {
                 break;
             };
-            let crashes: Vec<usize> = best.remaining(explained).collect();
-            let due = self.conviction_time(was_answered, &crashes);
-            if due.is_some_and(|due| due <= now) {
-                let is_equal = |suspect: &mut Suspect<'_>| {
-                    suspect.was_answered == was_answered
-                        && suspect.remaining(explained).eq(crashes.iter().copied())
-                };
-                let equals: Vec<u64> = suspects
-                    .extract_if(.., is_equal)
-                    .map(|suspect| suspect.segment)
-                    .collect();
-                evaluation
-                    .culprits
-                    .extend(equals.iter().map(|segment| Culprit {
-                        segment: *segment,
-                        crashes: u32::try_from(count).unwrap_or(u32::MAX),
-                        is_ambiguous: equals.len() > 1,
-                    }));
-            } else if let Some(due) = due {
-                let earlier = evaluation.evaluate_at.map_or(due, |at| at.min(due));
-                evaluation.evaluate_at = Some(earlier);
+            let group = self.group(best, suspects, explained);
+            let asked = group
+                .segments
+                .iter()
+                .map(|segment| self.asked(now, *segment));
+            let told = asked.max().unwrap_or(now) + ANSWER_TIME;
+            let due = group.due.earliest().map(|due| due.max(told));
+            if due.is_none_or(|due| due > now) {
+                deferred.push(best.segment);
+                evaluation.evaluate_at = evaluation.evaluate_at.into_iter().chain(due).min();
+                let open = group.segments.iter();
+                let new = open.filter(|segment| !evaluation.open.contains(segment));
+                let new: Vec<u64> = new.copied().collect();
+                evaluation.open.extend(new);
+                evaluation.open.truncate(MAX_OPEN);
+                continue;
             }
-            for crash in crashes {
+            let is_settled = group.due.settled.is_some_and(|due| due <= now);
+            let is_found = |suspect: &mut Suspect| group.segments.contains(&suspect.segment);
+            let found: Vec<Suspect> = suspects.extract_if(.., is_found).collect();
+            let culprits = found.iter().map(|suspect| Culprit {
+                segment: suspect.segment,
+                crashes: u32::try_from(suspect.remaining(explained).count()).unwrap_or(u32::MAX),
+                is_ambiguous: found.len() > 1 || !is_settled,
+            });
+            evaluation.culprits.extend(culprits);
+            for crash in group.crashes {
                 explained[crash] = true;
             }
         }
     }
 
-    /// From when a segment with these crashes is a culprit, if nothing changes.
-    fn conviction_time(&self, was_answered: bool, crashes: &[usize]) -> Option<Duration> {
-        let times = crashes.iter().map(|crash| self.crashes[*crash].first);
-        let mut moments: Vec<Duration> = Vec::new();
-        for time in times {
-            if moments.last().is_none_or(|last| time >= *last + MOMENT) {
-                moments.push(time);
+    /// The suspect with most crashes that are not explained, if they are enough to find it sooner or
+    /// later.
+    fn best<'a>(
+        &self,
+        suspects: impl Iterator<Item = &'a Suspect>,
+        explained: &[bool],
+    ) -> Option<&'a Suspect> {
+        let mut best = None;
+        let mut best_count = MIN_CRASHES - 1;
+        for suspect in suspects {
+            let count = suspect.remaining(explained).count();
+            if count <= best_count {
+                continue;
+            }
+            let crashes: Vec<usize> = suspect.remaining(explained).collect();
+            let due = self.due(suspect.was_answered, &crashes, explained);
+            if due.earliest().is_some() {
+                best = Some(suspect);
+                best_count = count;
             }
         }
-        if was_answered {
-            return moments.get(MIN_ANSWERED_MOMENTS - 1).copied();
+        best
+    }
+
+    /// The suspects that may be the cause of the crashes of `best`: those of its kind that account
+    /// for three quarters of them, and those answered before that account for all.
+    fn group(&self, best: &Suspect, suspects: &[Suspect], explained: &[bool]) -> Group {
+        let crashes: Vec<usize> = best.remaining(explained).collect();
+        let mut group = Group {
+            segments: Vec::new(),
+            due: self.due(best.was_answered, &crashes, explained),
+            crashes: crashes.clone(),
+        };
+        for suspect in suspects {
+            let is_common = |crash: &usize| crashes.binary_search(crash).is_ok();
+            let common = suspect.remaining(explained).filter(is_common).count();
+            if suspect.was_answered == best.was_answered {
+                if common * 4 >= crashes.len() * 3 {
+                    group.segments.push(suspect.segment);
+                }
+            } else if suspect.was_answered && common == crashes.len() {
+                let remaining: Vec<usize> = suspect.remaining(explained).collect();
+                let due = self.due(true, &remaining, explained);
+                if due.earliest().is_none() {
+                    continue;
+                }
+                group.segments.push(suspect.segment);
+                group.due = group.due.and(due);
+                if remaining.len() > group.crashes.len() {
+                    group.crashes = remaining;
+                }
+            }
         }
-        let third = self.crashes[*crashes.get(MIN_CRASHES - 1)?].first;
-        let second_moment = moments.get(1).map(|moment| third.max(*moment));
-        Some(second_moment.map_or(third + MOMENT, |moment| moment.min(third + MOMENT)))
+        group
     }
 
-    /// Segments of the crashes within the horizon, sorted.
-    fn presences(&self, now: Duration) -> Vec<Presence> {
-        let oldest = now.saturating_sub(HORIZON);
-        let start = self.crashes.partition_point(|crash| crash.first < oldest);
-        let recent = self.crashes.iter().enumerate().skip(start);
-        let mut presences: Vec<Presence> = recent
-            .flat_map(|(crash, entry)| {
-                let segments = entry.segments.iter();
-                segments.map(move |&segment| Presence { segment, crash })
-            })
-            .collect();
-        presences.sort_unstable();
-        presences
+    /// When these crashes suffice to find a segment, if nothing changes.
+    fn due(&self, was_answered: bool, crashes: &[usize], explained: &[bool]) -> Due {
+        let mut due = Due::default();
+        let Some(third) = crashes.get(MIN_CRASHES - 1) else {
+            return due;
+        };
+        let third = self.log.time(*third);
+        let moments = self.moments(crashes, MOMENT);
+        let min_moments = if was_answered {
+            MIN_ANSWERED_MOMENTS
+        } else {
+            MIN_MOMENTS
+        };
+        if let Some(moment) = moments.get(min_moments - 1) {
+            due.settled = Some(third.max(*moment) + REPORT_TIME);
+        }
+        if let Some(second) = moments.get(1) {
+            due.silent = Some(third.max(*second) + SILENCE);
+        } else if self.are_most(crashes, explained) {
+            let moments = self.moments(crashes, SHORT_MOMENT);
+            let last = moments.get(MIN_SHORT_MOMENTS - 1);
+            due.silent = last.map(|moment| third.max(*moment) + SILENCE);
+        }
+        due
+    }
+
+    /// Whether these are three quarters of the crashes of their time.
+    fn are_most(&self, crashes: &[usize], explained: &[bool]) -> bool {
+        let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else {
+            return false;
+        };
+        let begin = self.log.time(*first).saturating_sub(SHORT_MOMENT);
+        let end = self.log.time(*last) + SHORT_MOMENT;
+        let all = &explained[self.log.between(begin, end)];
+        let open = all.iter().filter(|is_explained| !**is_explained);
+        crashes.len() * 4 >= open.count() * 3
     }
 
-    /// The segment of `presences` with the crashes since its last answer.
-    fn suspect<'a>(&self, presences: &'a [Presence]) -> Suspect<'a> {
+    /// Times of the crashes, without those within `length` after another.
+    fn moments(&self, crashes: &[usize], length: Duration) -> Vec<Duration> {
+        let mut moments: Vec<Duration> = Vec::new();
+        for crash in crashes {
+            let time = self.log.time(*crash);
+            if moments.last().is_none_or(|last| time >= *last + length) {
+                moments.push(time);
+            }
+        }
+        moments
+    }
+
+    /// The segment of `presences` with the crashes that count for it.
+    fn suspect(&self, presences: &[Presence]) -> Suspect {
         let segment = presences[0].segment;
         let answer = self.last_answer(segment);
-        let is_cleared =
-            |presence: &Presence| answer.is_some_and(|at| at > self.crashes[presence.crash].first);
-        let start = presences.partition_point(is_cleared);
+        let time = |presence: &Presence| self.log.time(presence.crash);
+        let start =
+            presences.partition_point(|presence| answer.is_some_and(|at| at > time(presence)));
+        let since = &presences[start..];
+        let is_frequent = |crash: &usize| {
+            let at = self.log.time(*crash);
+            let (begin, end) = (at.saturating_sub(MOMENT / 2), at + MOMENT / 2);
+            let own = since.partition_point(|presence| time(presence) <= end)
+                - since.partition_point(|presence| time(presence) < begin);
+            own * MIN_SHARE >= self.log.between(begin, end).len()
+        };
+        let crashes = since.iter().map(|presence| presence.crash);
         Suspect {
             segment,
             was_answered: answer.is_some(),
-            presences: &presences[start..],
+            crashes: crashes.filter(is_frequent).collect(),
         }
     }
 
-    /// Drops crashes beyond the horizon or the limits.
-    fn drop_oldest(&mut self) {
-        let latest = self
-            .crashes
-            .last()
-            .map_or(Duration::ZERO, |last| last.first);
-        let oldest = latest.saturating_sub(HORIZON);
-        let mut total: usize = self.crashes.iter().map(|crash| crash.segments.len()).sum();
-        let mut dropped = 0;
-        for crash in &self.crashes {
-            let is_within_limits =
-                self.crashes.len() - dropped <= MAX_CRASHES && total <= MAX_TOTAL_SEGMENTS;
-            if crash.first >= oldest && is_within_limits {
-                break;
-            }
-            total -= crash.segments.len();
-            dropped += 1;
-        }
-        self.crashes.drain(..dropped);
+    /// Since when other instances have been asked about a segment.
+    fn asked(&self, now: Duration, segment: u64) -> Duration {
+        let index = self.asked.binary_search_by_key(&segment, |(id, _)| *id);
+        index.map_or(now, |index| self.asked[index].1)
+    }
+
+    fn remember_asked(&mut self, now: Duration, evaluation: &Evaluation) {
+        let culprits = evaluation.culprits.iter().map(|culprit| culprit.segment);
+        let segments = culprits.chain(evaluation.open.iter().copied());
+        let asked = segments.map(|segment| (segment, self.asked(now, segment)));
+        let mut asked: Vec<(u64, Duration)> = asked.collect();
+        asked.sort_unstable();
+        self.asked = asked;
     }
 }
--- /dev/null
+++ b/crates/policy/src/suspect/crash.rs
@@ -0,0 +1,147 @@
+//! Crashes of endpoints, as several instances report them.
+
+use std::time::Duration;
+
+/// Reports of an endpoint's crash no further apart than this are about the same crash.
+const MERGE_WINDOW: Duration = Duration::from_secs(1);
+/// Age at which a crash is dropped.
+const HORIZON: Duration = Duration::from_secs(600);
+/// Largest number of crashes kept.
+const MAX_CRASHES: usize = 1024;
+/// Largest number of segments kept of one crash.
+const MAX_SEGMENTS: usize = 256;
+/// Largest number of segments kept of all crashes together.
+const MAX_TOTAL_SEGMENTS: usize = 65_536;
+
+/// Crash of one endpoint.
+///
+/// # Invariants
+///
+/// `segments` is sorted, without duplicates, and no longer than [`MAX_SEGMENTS`].
+#[derive(Clone, Debug)]
+struct Crash {
+    endpoint: u64,
+    /// Time of the earliest report.
+    first: Duration,
+    /// Time of the latest report.
+    last: Duration,
+    segments: Vec<u64>,
+}
+
+impl Crash {
+    /// Adds what another report says about the same crash.
+    fn merge(&mut self, other: Self) {
+        self.first = self.first.min(other.first);
+        self.last = self.last.max(other.last);
+        self.segments.extend(other.segments);
+        self.limit_segments();
+    }
+
+    /// Sorts the segments and drops those above the limit. Which are dropped depends on the
+    /// endpoint, so that no segment is dropped from every crash.
+    fn limit_segments(&mut self) {
+        self.segments.sort_unstable();
+        self.segments.dedup();
+        if self.segments.len() > MAX_SEGMENTS {
+            let endpoint = self.endpoint;
+            let rank = |segment: &u64| crate::mix::mix(*segment ^ endpoint);
+            self.segments.sort_unstable_by_key(rank);
+            self.segments.truncate(MAX_SEGMENTS);
+            self.segments.sort_unstable();
+        }
+    }
+}
+
+/// A segment that was present in a crash.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Presence {
+    pub(super) segment: u64,
+    /// Index of the crash.
+    pub(super) crash: usize,
+}
+
+/// Crashes in order of time; they are referred to by index.
+///
+/// # Invariants
+///
+/// `crashes` is sorted by the time of the first report and the endpoint, and holds no more than
+/// [`MAX_CRASHES`] crashes with [`MAX_TOTAL_SEGMENTS`] segments together.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Log {
+    crashes: Vec<Crash>,
+}
+
+impl Log {
+    /// Adds a report of a crash.
+    pub(super) fn record(&mut self, endpoint: u64, at: Duration, segments: &[u64]) {
+        let mut crash = Crash {
+            endpoint,
+            first: at,
+            last: at,
+            segments: segments.to_vec(),
+        };
+        crash.limit_segments();
+        let is_same = |old: &mut Crash| {
+            old.endpoint == endpoint
+                && at + MERGE_WINDOW >= old.first
+                && at <= old.last + MERGE_WINDOW
+        };
+        for old in self.crashes.extract_if(.., is_same) {
+            crash.merge(old);
+        }
+        let key = |crash: &Crash| (crash.first, crash.endpoint);
+        let index = self.crashes.partition_point(|old| key(old) < key(&crash));
+        self.crashes.insert(index, crash);
+        self.drop_oldest();
+    }
+
+    /// Number of crashes.
+    pub(super) fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Time of a crash.
+    pub(super) fn time(&self, index: usize) -> Duration {
+        self.crashes[index].first
+    }
+
+    /// Indices of the crashes from `begin` to `end`.
+    pub(super) fn between(&self, begin: Duration, end: Duration) -> std::ops::Range<usize> {
+        let start = self.crashes.partition_point(|crash| crash.first < begin);
+        start..self.crashes.partition_point(|crash| crash.first <= end)
+    }
+
+    /// Segments of the crashes within the horizon, sorted.
+    pub(super) fn presences(&self, now: Duration) -> Vec<Presence> {
+        let recent = self.between(now.saturating_sub(HORIZON), Duration::MAX);
+        let mut presences: Vec<Presence> = recent
+            .flat_map(|crash| {
+                let segments = self.crashes[crash].segments.iter();
+                segments.map(move |&segment| Presence { segment, crash })
+            })
+            .collect();
+        presences.sort_unstable();
+        presences
+    }
+
+    /// Drops crashes beyond the horizon or the limits.
+    fn drop_oldest(&mut self) {
+        let latest = self
+            .crashes
+            .last()
+            .map_or(Duration::ZERO, |last| last.first);
+        let oldest = latest.saturating_sub(HORIZON);
+        let mut total: usize = self.crashes.iter().map(|crash| crash.segments.len()).sum();
+        let mut dropped = 0;
+        for crash in &self.crashes {
+            let is_within_limits =
+                self.crashes.len() - dropped <= MAX_CRASHES && total <= MAX_TOTAL_SEGMENTS;
+            if crash.first >= oldest && is_within_limits {
+                break;
+            }
+            total -= crash.segments.len();
+            dropped += 1;
+        }
+        self.crashes.drain(..dropped);
+    }
+}
