--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -39,6 +39,7 @@
         Ticket, //
     },
     protocol::Protocol,
+    quarantine::Proof,
     refusal::{
         Reason,
         Refusal, //
@@ -80,6 +81,8 @@
     levels: Vec<u64>,
     /// Reports the outcome to the planner, if the planner placed the request.
     ticket: Option<Ticket>,
+    /// Whether the answer has shown that the request does not crash engines.
+    pub proof: Proof,
 }
 
 /// Chooses an endpoint of the call's service that is not in `tried`.
@@ -157,6 +160,7 @@
         health,
         levels,
         ticket,
+        proof: Proof::default(),
     })
 }
 
@@ -174,6 +178,8 @@
         let term = node.config.bounds.weights;
         async move {
             loop {
+                // A version may turn out to be older than this instance knew at first.
+                let changed = node.rollouts_changed.notified();
                 let now = clock::now();
                 let superseded_at = model.and_then(|model| {
                     let rollout = node.rollout(model)?;
@@ -189,7 +195,10 @@
                         fault: Fault::WeightsExpired,
                     };
                 }
-                tokio::time::sleep(wait.max(MIN_TERM_CHECK_INTERVAL)).await;
+                tokio::select! {
+                    () = tokio::time::sleep(wait.max(MIN_TERM_CHECK_INTERVAL)) => {}
+                    () = changed => {}
+                }
             }
         }
     }
