Trials of several quarantined segments do not use up those of each

Now a row holds two times: for requests with this quarantined segment alone, and for requests that hold others, which come 10 s later and do not move the first. It also holds whether the segment is ambiguous, which shortens the delays of its trials. A segment is found only while its last crash is younger than 4 s.

--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -46,6 +46,9 @@
 const MIN_SHORT_MOMENTS: usize = 3;
 /// Time without an answer after which fewer moments suffice.
 const SILENCE: Duration = Duration::from_millis(1_500);
+/// Age of its last crash from which a segment is no longer found. Older crashes may have lost the
+/// segment that caused them, because it was answered since.
+const RECENT: Duration = Duration::from_secs(4);
 /// Time in which the reports of other instances arrive.
 const REPORT_TIME: Duration = Duration::from_millis(500);
 /// Time in which other instances tell the last answer to a request with a segment.
@@ -218,6 +221,11 @@
                 break;
             };
             let group = self.group(best, suspects, explained);
+            let last = group.crashes.last().map(|crash| self.log.time(*crash));
+            if last.is_none_or(|last| last + RECENT < now) {
+                deferred.push(best.segment);
+                continue;
+            }
             let asked = group
                 .segments
                 .iter()
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -79,8 +79,12 @@
     since: Duration,
     /// Number of trials that were claimed.
     trials: u32,
-    /// From when the next trial may be claimed.
+    /// Whether other segments were present in the same crashes.
+    is_ambiguous: bool,
+    /// From when the next trial may be claimed by a request without other quarantined segments.
     due: Duration,
+    /// From when it may be claimed by any request.
+    joint_due: Duration,
     /// Revision of its row; `None` while the row is not known to be in the table.
     revision: Option<u64>,
     source: Source,
@@ -126,7 +130,11 @@
     fn drop(&mut self) {
         if !self.spent {
             let mut state = self.table.state.lock();
-            state.unspent.append(&mut self.segments);
+            let is_joint = self.segments.len() > 1;
+            let segments = self.segments.iter();
+            state
+                .unspent
+                .extend(segments.map(|segment| (*segment, is_joint)));
             drop(state);
             self.table.rows_outdated.notify_one();
         }
@@ -143,8 +151,8 @@
     records: Vec<Record>,
     /// Claims that no task has taken yet.
     claims: Vec<Claim>,
-    /// Segments of trials that reached no endpoint.
-    unspent: Vec<u64>,
+    /// Segments of trials that reached no endpoint, each with whether the request held others, too.
+    unspent: Vec<(u64, bool)>,
     /// Segments whose rows are to be deleted.
     releases: Vec<u64>,
     /// Segments whose rows were deleted last, with the revisions of the deletions: earlier changes
@@ -154,7 +162,7 @@
 
 /// Evidence about segments, and the quarantined ones.
 ///
-/// The lock is held for short computations only and no other lock is taken under it.
+/// The lock is held for short computations only; the exchange's state may be locked under it.
 #[derive(Debug, Default)]
 pub struct Table {
     state: Mutex<State>,
@@ -186,13 +194,17 @@
 
     /// Updates the copy of the records for requests.
     fn publish(&self, state: &State) {
-        let entries = state.records.iter().map(|record| Entry {
-            segment: record.segment,
+        let entries = state.records.iter().map(|record| {
             // A trial is claimed by writing the row.
-            due: match record.revision {
-                Some(_) => record.due,
+            let earliest = match record.revision {
+                Some(_) => Duration::ZERO,
                 None => Duration::MAX,
-            },
+            };
+            Entry {
+                segment: record.segment,
+                due: record.due.max(earliest),
+                joint_due: record.joint_due.max(earliest),
+            }
         });
         self.entries.store(Arc::new(entries.collect()));
     }
@@ -238,12 +250,14 @@
         if state.records.len() >= MAX_RECORDS {
             return;
         }
-        let delay = quarantine::trial_delay(0, culprit.is_ambiguous);
+        let due = now + quarantine::trial_delay(0, culprit.is_ambiguous);
         let record = Record {
             segment: culprit.segment,
             since: now,
             trials: 0,
-            due: now + delay,
+            is_ambiguous: culprit.is_ambiguous,
+            due,
+            joint_due: quarantine::joint_due(due),
             revision: None,
             source,
         };
--- a/crates/router/src/quarantine/rows.rs
+++ b/crates/router/src/quarantine/rows.rs
@@ -11,7 +11,10 @@
     Txn,
     Watch, //
 };
-use policy::quarantine::trial_delay;
+use policy::quarantine::{
+    self,
+    trial_delay, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -56,6 +59,34 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "due_ms")]
     due: Duration,
+    /// The same for a trial with other quarantined segments.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "joint_due_ms")]
+    joint_due: Duration,
+    /// Whether other segments were present in the same crashes.
+    #[serde(rename = "ambiguous")]
+    is_ambiguous: bool,
+}
+
+/// A row to write, with the state that it gives the record.
+#[derive(Clone, Copy, Debug)]
+struct Write {
+    /// Record after the write; its revision is that of the row to replace.
+    record: Record,
+    row: Row,
+}
+
+impl Write {
+    /// `None` while the table's clock is unknown.
+    fn new<P: Protocol>(node: &Node<P>, record: Record) -> Option<Self> {
+        let row = Row {
+            trials: record.trials,
+            due: node.exchange.table_time(record.due)?,
+            joint_due: node.exchange.table_time(record.joint_due)?,
+            is_ambiguous: record.is_ambiguous,
+        };
+        Some(Self { record, row })
+    }
 }
 
 fn key(segment: u64) -> String {
@@ -83,7 +114,9 @@
             return;
         }
     };
-    let local_due = node.exchange.local_time(row.due);
+    let due = node.exchange.local_time(row.due);
+    let due = due.unwrap_or(now + trial_delay(row.trials, row.is_ambiguous));
+    let joint_due = node.exchange.local_time(row.joint_due);
     let table = &node.quarantine;
     let mut state = table.state.lock();
     let is_deleted = |deleted: &(u64, u64)| deleted.0 == segment && change.revision <= deleted.1;
@@ -94,7 +127,9 @@
         segment,
         since: now,
         trials: row.trials,
-        due: local_due.unwrap_or(now + trial_delay(row.trials, false)),
+        is_ambiguous: row.is_ambiguous,
+        due,
+        joint_due: joint_due.unwrap_or(quarantine::joint_due(due)),
         revision: Some(change.revision),
         source: Source::Own,
     };
@@ -164,16 +199,10 @@
 /// Creates the rows of segments that this instance has found.
 async fn write_new<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
     for record in unwritten_records(node) {
-        let Some(due) = node.exchange.table_time(record.due) else {
+        let Some(new) = Write::new(node, record) else {
             return;
         };
-        let row = Row {
-            trials: record.trials,
-            due,
-        };
-        if let Some(revision) = write(table, &[(record.segment, 0, row)]).await {
-            set_written(node, record.segment, row.trials, record.due, revision);
-        }
+        write(node, table, &[new]).await;
     }
 }
 
@@ -185,122 +214,125 @@
         .collect()
 }
 
-/// Writes rows if they are still at the given revisions; `None` if they are not, or if the table
-/// does not answer.
-async fn write<W: Watch>(table: &W, rows: &[(u64, u64, Row)]) -> Option<u64> {
+/// Writes rows if they are still at the revisions of their records, and updates the records;
+/// `false` if they are not, or if the table does not answer.
+async fn write<P: Protocol, W: Watch>(node: &Node<P>, table: &W, writes: &[Write]) -> bool {
     let mut txn = Txn::default();
-    for (segment, revision, row) in rows {
+    for Write { record, row } in writes {
         // Numbers always encode.
         let value = serde_json::to_vec(row).unwrap_or_default();
-        txn = txn.when(key(*segment), *revision).put(key(*segment), value);
+        let key = key(record.segment);
+        txn = txn.when(&key, record.revision.unwrap_or(0)).put(key, value);
     }
-    match table.transact(txn).await {
-        Ok(Outcome::Applied(revision)) => Some(revision),
+    let revision = match table.transact(txn).await {
+        Ok(Outcome::Applied(revision)) => revision,
         // The row that another instance wrote arrives with the changes of the table.
-        Ok(Outcome::Conflict(_)) => None,
+        Ok(Outcome::Conflict(_)) => return false,
         Err(fault) => {
             emit!(debug, event::TABLE_FAULT, prefix = QUARANTINE, reason = %fault);
-            None
+            return false;
         }
-    }
-}
-
-/// Records that this instance has written a row.
-fn set_written<P: Protocol>(
-    node: &Node<P>,
-    segment: u64,
-    trials: u32,
-    due: Duration,
-    revision: u64,
-) {
-    let mut state = node.quarantine.state.lock();
-    let Ok(index) = state.find(segment) else {
-        return;
     };
-    let record = &mut state.records[index];
-    if record.revision.is_none_or(|known| known < revision) {
-        record.trials = trials;
-        record.due = due;
-        record.revision = Some(revision);
-        node.quarantine.publish(&state);
+    let mut state = node.quarantine.state.lock();
+    for Write { record, .. } in writes {
+        let Ok(index) = state.find(record.segment) else {
+            continue;
+        };
+        let known = &mut state.records[index];
+        if known.revision.is_none_or(|known| known < revision) {
+            *known = Record {
+                revision: Some(revision),
+                ..*record
+            };
+        }
     }
+    node.quarantine.publish(&state);
+    true
 }
 
 /// Claims a trial by moving the time of the next one, so that no other instance sends one.
 async fn grant<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W, claim: Claim) {
-    let now = clock::now();
-    let rows = claimed_rows(&node, &claim.segments, now);
-    let revision = match &rows {
-        Some(rows) => write(&table, rows).await,
-        None => None,
-    };
-    let (Some(rows), Some(revision)) = (rows, revision) else {
+    let Some(writes) = claim_writes(&node, &claim.segments, clock::now()) else {
         return;
     };
-    let trial = Trial {
-        table: node.quarantine.clone(),
-        segments: claim.segments,
-        spent: false,
-    };
-    for (segment, _, row) in &rows {
-        let due = now + trial_delay(row.trials, false);
-        set_written(&node, *segment, row.trials, due, revision);
+    if !write(&*node, &table, &writes).await {
+        return;
+    }
+    for Write { row, record } in &writes {
         emit!(
             info,
             event::SEGMENT_TRIED,
-            segment = format!("{segment:x}"),
+            segment = format!("{:x}", record.segment),
             trials = row.trials,
         );
     }
+    let trial = Trial {
+        table: node.quarantine.clone(),
+        segments: claim.segments,
+        spent: false,
+    };
     // Fails if the request no longer waits; the trial is then dropped.
     claim.granted.send(trial).ok();
 }
 
+/// The rows that claim the next trial of all `segments`; `None` unless it is due.
+fn claim_writes<P: Protocol>(
+    node: &Node<P>,
+    segments: &[u64],
+    now: Duration,
+) -> Option<Vec<Write>> {
+    let is_joint = segments.len() > 1;
+    let state = node.quarantine.state.lock();
+    let writes = segments.iter().map(|segment| {
+        let mut record = state.records[state.find(*segment).ok()?];
+        record.revision?;
+        let due = if is_joint {
+            record.joint_due
+        } else {
+            record.due
+        };
+        if due > now {
+            return None;
+        }
+        record.trials = record.trials.saturating_add(1);
+        let next = now + trial_delay(record.trials, record.is_ambiguous);
+        if !is_joint {
+            record.due = next;
+        }
+        record.joint_due = record.joint_due.max(quarantine::joint_due(next));
+        Write::new(node, record)
+    });
+    writes.collect()
+}
+
 /// Makes the trials available again that reached no endpoint.
 async fn write_unspent<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
     let now = clock::now();
     let segments = std::mem::take(&mut node.quarantine.state.lock().unspent);
-    for segment in segments {
-        let Some((revision, row)) = unspent_row(node, segment, now) else {
-            continue;
-        };
-        // If the table does not answer, the next trial follows at its time.
-        if let Some(written) = write(table, &[(segment, revision, row)]).await {
-            set_written(node, segment, row.trials, now, written);
+    for (segment, is_joint) in segments {
+        if let Some(unspent) = unspent_write(node, segment, is_joint, now) {
+            // If the table does not answer, the next trial follows at its time.
+            write(node, table, &[unspent]).await;
         }
     }
 }
 
-fn unspent_row<P: Protocol>(node: &Node<P>, segment: u64, now: Duration) -> Option<(u64, Row)> {
-    let state = node.quarantine.state.lock();
-    let record = state.records[state.find(segment).ok()?];
-    let row = Row {
-        trials: record.trials.saturating_sub(1),
-        due: node.exchange.table_time(now)?,
-    };
-    Some((record.revision?, row))
-}
-
-/// The rows that claim the next trial of each segment, with the revisions that they replace; `None`
-/// unless all trials are due.
-fn claimed_rows<P: Protocol>(
+fn unspent_write<P: Protocol>(
     node: &Node<P>,
-    segments: &[u64],
+    segment: u64,
+    is_joint: bool,
     now: Duration,
-) -> Option<Vec<(u64, u64, Row)>> {
+) -> Option<Write> {
     let state = node.quarantine.state.lock();
-    let rows = segments.iter().map(|segment| {
-        let record = state.records[state.find(*segment).ok()?];
-        let revision = record.revision.filter(|_| record.due <= now)?;
-        let trials = record.trials.saturating_add(1);
-        let due = now + trial_delay(trials, false);
-        let row = Row {
-            trials,
-            due: node.exchange.table_time(due)?,
-        };
-        Some((*segment, revision, row))
-    });
-    rows.collect()
+    let mut record = state.records[state.find(segment).ok()?];
+    record.revision?;
+    record.trials = record.trials.saturating_sub(1);
+    if is_joint {
+        record.joint_due = now;
+    } else {
+        record.due = now;
+    }
+    Write::new(node, record)
 }
 
 /// Deletes the rows of segments that are no longer quarantined, or that no request holds any more.
