--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -155,6 +155,16 @@
         hub::is_any_fresh(&observations.collect::<Vec<_>>())
     }
 
+    /// Whether a hub has sent a digest within the last few digest intervals, however old its view
+    /// of the table is.
+    pub fn hears_hub(&self, now: Duration) -> bool {
+        let state = self.state.lock();
+        state
+            .hubs
+            .iter()
+            .any(|hub| now.saturating_sub(hub.received_at) <= MAX_LAG)
+    }
+
     /// Records an answer of the table to this instance, with the time by the table's clock if any.
     pub fn record_table_answer(&self, now: Duration, clock: Option<Duration>) {
         let mut state = self.state.lock();
@@ -164,6 +174,11 @@
         }
     }
 
+    /// Whether times by the table's clock can be converted.
+    pub fn knows_table_clock(&self) -> bool {
+        self.state.lock().table_clock.is_some()
+    }
+
     /// Converts a time by the table's clock to local time; `None` until the table's clock is known.
     pub fn local_time(&self, time: Duration) -> Option<Duration> {
         let (clock, at) = self.state.lock().table_clock?;
