The log of a placement tells the age of the version that superseded the engine's

To tell a request that waited beyond the term from one that was sent by a wrong date, the date was missing in the log: REQUEST_PLACED named the engine's version only. It has superseded_ms now, left out for the newest weights and for plain services.

--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -123,6 +123,8 @@
         reasons,
         ..
     } = decision;
+    let model = endpoint.model().and(call.head.model.as_deref());
+    let superseded_at = model.and_then(|model| node.superseded_at(model, endpoint.version()));
     emit!(
         info,
         event::REQUEST_PLACED,
@@ -130,6 +132,7 @@
         endpoint = &*endpoint.registration.name,
         service = &*call.service,
         version = endpoint.version(),
+        superseded_ms = superseded_at.map(|at| millis(clock::now().saturating_sub(at))),
         planned = ticket.is_some(),
         hits = reasons.hits,
         missed = reasons.missed,
@@ -178,10 +181,7 @@
                 // A version may turn out to be older than this instance knew at first.
                 let changed = node.rollouts_changed.notified();
                 let now = clock::now();
-                let superseded_at = model.and_then(|model| {
-                    let rollout = node.rollout(model)?;
-                    rollout.versions.superseded_at(version)
-                });
+                let superseded_at = model.and_then(|model| node.superseded_at(model, version));
                 // The weights may be superseded at any moment from now on.
                 let begin_by = weights::begin_by(superseded_at.unwrap_or(now), term);
                 let wait = begin_by.saturating_sub(now);
--- a/crates/router/src/weights.rs
+++ b/crates/router/src/weights.rs
@@ -41,6 +41,14 @@
             .cloned()
     }
 
+    /// When a version of the weights of `model` was superseded, as far as this instance knows; `None`
+    /// if it is the newest.
+    pub fn superseded_at(&self, model: &str, version: u64) -> Option<Duration> {
+        let rollouts = self.rollouts.load();
+        let rollout = rollouts.iter().find(|rollout| rollout.model == model)?;
+        rollout.versions.superseded_at(version)
+    }
+
     /// Sets the version that the engines of `model` should serve, if it is newer than the current
     /// one. `found_at` is the revision of its row, if the row was there when this instance started.
     pub fn set_rollout(&self, model: String, version: u64, found_at: Option<u64>) {
