Plain services have no superseded weights

Callers of a plain service whose request names a model got 503 no_endpoint once the term of the model's first version was over: the endpoint's version, 0, counted as superseded by it. Found by reading, when the age of versions went into the log.

--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -279,6 +279,8 @@
     if !serves || registration.leaving || query.tried.contains(&registration.name) {
         return None;
     }
+    // Endpoints without a model have no weights, also if the request names a model.
+    let rollout = rollout.filter(|_| served.is_some());
     let superseded_at = rollout.and_then(|r| r.versions.superseded_at(endpoint.version()));
     if superseded_at.is_some_and(|at| !may_use_superseded(node, query, at)) {
         return None;
