Bound the answers to orders and reports to 1 MiB

What was seen: an engine whose report has no end filled the memory of the instance that rolls out weights for the second that a call may take.

Cause: endpoint::order collected bodies without a limit; the timeout alone bounded them. Heads were bounded by the HTTP client already (tested).

The verdict of an order stays "may have run", so the next report decides, as after a timeout.

--- a/crates/endpoint/src/order.rs
+++ b/crates/endpoint/src/order.rs
@@ -29,7 +29,8 @@
 };
 use http_body_util::{
     BodyExt,
-    Empty, //
+    Empty,
+    Limited, //
 };
 use hyper::{
     body::{
@@ -55,6 +56,8 @@
 
 /// Longest time from the check that an order may be sent until it can no longer arrive.
 pub const MAX_DELIVERY_TIME: Duration = Duration::from_secs(1);
+/// Maximum size of the body of an answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 
 /// An order to an engine, as sent on the wire.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -229,22 +232,25 @@
     };
     match tokio::time::timeout(MAX_DELIVERY_TIME, exchange(stream, request)).await {
         Ok(Ok(answer)) => Ok(answer),
-        Ok(Err(error)) => Err(failed(Fault::NoAnswer(error.to_string()))),
+        Ok(Err(fault)) => Err(failed(fault)),
         Err(_) => Err(failed(Fault::Timeout)),
     }
 }
 
 /// Sends a request over a connection that is closed after the answer.
-async fn exchange<B>(stream: TcpStream, request: Request<B>) -> hyper::Result<(StatusCode, Bytes)>
+async fn exchange<B>(stream: TcpStream, request: Request<B>) -> Result<(StatusCode, Bytes), Fault>
 where
     B: Body<Data = Bytes> + 'static,
     B::Error: std::error::Error + Send + Sync + 'static,
 {
-    let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
+    let no_answer = |error: hyper::Error| Fault::NoAnswer(error.to_string());
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(no_answer)?;
     let round_trip = async move {
-        let response = sender.send_request(request).await?;
+        let response = sender.send_request(request).await.map_err(no_answer)?;
         let status = response.status();
-        let body = response.into_body().collect().await?;
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+        let body = body.await;
+        let body = body.map_err(|error| Fault::Truncated(error.to_string()))?;
         Ok((status, body.to_bytes()))
     };
     match select(pin!(round_trip), pin!(connection)).await {
