Bound answers of the table, the object store and peers to 16 MiB

What was seen: one answer without end of the store or of another instance took up to 64 MiB, and an instance follows several tables at once; with endless answers to all of its calls its peak memory was 121 and 186 MB in two runs, where the smallest deployment allows 110.

Cause: the limit of one answer was chosen without regard to how many may arrive together. Ruled out: heads, which the HTTP client bounds.

The largest answer that is needed is a peer's state at the target's size: 6,700 rows of endpoints of some 330 bytes are about 8 MB as JSON (computed, not run). Objects are bounded to 8 MiB by the platform.

Before: endless::endless_answers_of_platform_services_are_given_up failed with 71 MB read of one answer, and endless::instances_serve_beside_a_store_whose_answers_have_no_end as above. Now both pass in three runs, with a peak of 35 to 42 MB. The tests of platform and damaskctl and two test programs of damaskd (settings, restart) pass.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -26,7 +26,7 @@
 use thiserror::Error;
 
 /// Maximum size of an answer's body, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Idle time of a connection before the first TCP keepalive probe, and the interval between
 /// probes. The kernel accepts no less than 1 s.
