End a stream at its deadline while its events keep arriving

What callers saw: a stream with a deadline of 2 s that went on without end, as long as its engine kept sending.

Cause: the deadline was checked only when no frame was ready. While the caller reads more slowly than the engine sends, a frame is always ready, so the timeout is never polled. Ruled out: slow events without end, which the same test sends with pauses, ended in time before.

Events that have already arrived are still forwarded for 200 ms after the deadline, so an answer that is ready is not lost. The endpoint counts as failed, as with any stream that reaches its deadline.

Before: endless::endless_streams_end_at_their_deadline failed, the stream still ran after 10 s.

--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -64,6 +64,8 @@
 /// Time without an event after which a started stream is resumed at another endpoint, if it may
 /// be. Pauses of engines that are only fully loaded are shorter.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after the deadline in which events that have already arrived are still forwarded.
+const LATE_EVENTS_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Forwards the events of one request to the caller in order, across all endpoints that serve it.
 #[derive(Debug)]
@@ -201,7 +203,7 @@
     ) -> Result<Option<Bytes>, Failure> {
         let expired = self.selection.weights_expired(node, call);
         tokio::select! {
-            first = self.next(last_event, call.time_left()) => first,
+            first = self.next(last_event, call.deadline) => first,
             expired = expired => Err(expired),
         }
     }
@@ -210,9 +212,8 @@
     async fn next(
         &mut self,
         last_event: &mut Option<u64>,
-        timeout: Duration,
+        deadline: Instant,
     ) -> Result<Option<Bytes>, Failure> {
-        let deadline = tokio::time::Instant::now() + timeout;
         loop {
             if let Some(events) = self.whole_events(last_event) {
                 return Ok(Some(events));
@@ -220,7 +221,11 @@
             if self.splitter.is_oversized() {
                 return Err(self.fail(Fault::Unreadable("event too large".to_owned())));
             }
-            match tokio::time::timeout_at(deadline, self.body.frame()).await {
+            match tokio::time::timeout_at(deadline.into(), self.body.frame()).await {
+                // Frames that are always ready keep the timeout from being polled.
+                Ok(Some(Ok(_))) if Instant::now() > deadline + LATE_EVENTS_TIMEOUT => {
+                    return Err(self.fail(Fault::Timeout));
+                }
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
@@ -349,13 +354,11 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
-        let time_left = self.call.time_left();
-        let timeout = if self.call.is_repeatable() {
-            time_left.min(STALL_TIMEOUT)
-        } else {
-            time_left
-        };
-        match self.upstream.next(&mut self.last_event, timeout).await {
+        let mut deadline = self.call.deadline;
+        if self.call.is_repeatable() {
+            deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
+        }
+        match self.upstream.next(&mut self.last_event, deadline).await {
             Ok(next) => Ok(next),
             Err(failure) => self.resume(failure).await,
         }
