End a stream at its deadline while its caller does not read

What endpoints saw: a stream whose caller kept its connection open without reading occupied the engine long after the request's deadline.

Cause: the relay waited for room in the caller's buffer without a deadline. When a stream was aborted for another reason, the connection to the endpoint was also kept until the caller had read up to the abort.

--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -277,9 +277,9 @@
     /// connection to the endpoint, which cancels its work.
     async fn run(mut self, first: Bytes, chunks: mpsc::Sender<Result<Bytes, Abort>>) {
         let first_event = self.call.arrived_at.elapsed();
-        let outcome = match self.forward_events(first, &chunks).await {
-            Ok(true) => "ok",
-            Ok(false) => "caller_left",
+        let (outcome, abort) = match self.forward_events(first, &chunks).await {
+            Ok(true) => ("ok", None),
+            Ok(false) => ("caller_left", None),
             Err(refusal) => {
                 emit!(
                     warn,
@@ -292,12 +292,10 @@
                     last_event = self.last_event,
                     age_ms = millis(self.call.arrived_at.elapsed()),
                 );
-                // Sending fails only if the caller has disconnected.
-                chunks.send(Err(Abort(refusal.message))).await.ok();
-                "stream_broken"
+                ("stream_broken", Some(Abort(refusal.message)))
             }
         };
-        if outcome != "stream_broken" {
+        if abort.is_none() {
             emit!(
                 info,
                 event::REQUEST_SERVED,
@@ -324,8 +322,15 @@
             queue: Duration::ZERO,
             total: self.call.arrived_at.elapsed(),
         });
-        if outcome == "ok" {
-            self.upstream.lease.release();
+        match abort {
+            None if outcome == "ok" => self.upstream.lease.release(),
+            None => {}
+            Some(abort) => {
+                // The endpoint does not wait until the caller has read the chunks before the abort.
+                drop(self);
+                // Sending fails only if the caller has disconnected.
+                chunks.send(Err(abort)).await.ok();
+            }
         }
     }
 
@@ -337,8 +342,11 @@
     ) -> Result<bool, Refusal> {
         let mut events = first;
         loop {
-            if chunks.send(Ok(events)).await.is_err() {
-                return Ok(false);
+            let deadline = self.call.deadline + LATE_EVENTS_TIMEOUT;
+            match tokio::time::timeout_at(deadline.into(), chunks.send(Ok(events))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return Ok(false),
+                Err(_) => return Err(self.attempts.final_refusal(&self.call)),
             }
             let sent_at = Instant::now();
             let next = tokio::select! {
