Bound the memory and time of collecting answers without end

What was seen: 24 requests at once to an endpoint whose answers have no end brought the instance to a peak of 161 to 198 MB, beyond the 110 MB of the smallest deployment.

Cause: each answer was bounded to 8 MiB, all together were not. Behind it lay another: the limit counts bytes of the body, so that a body in chunks of 4 bytes took 2 million chunks to reach it, and the caller had no verdict after 10 s (seen once the first cause was mended).

Now answers above 64 KiB are collected four at a time while the others wait unread, an answer has at most 16,384 chunks, and the read buffer of a connection at most 64 KiB, which also bounds the head. The endpoint counts as failed and the connection is closed, as for any answer that breaks off.

Ruled out: the copies while a buffer grows; with them the peak was 72 to 80 MB, so chunks are joined only once the answer is whole.

What does not hold: four endpoints that send large answers slowly and without end keep other large answers waiting, at most until their deadlines. Answers up to 64 KiB never wait.

Before: endless::endless_bodies_are_given_up failed as above. The tests of endpoint, path, and of damaskd's programs requests, bad_input and whole_path pass.

--- a/crates/endpoint/src/connection.rs
+++ b/crates/endpoint/src/connection.rs
@@ -15,8 +15,8 @@
 use hyper::{
     body::Incoming,
     client::conn::http1::{
-        SendRequest,
-        handshake, //
+        Builder,
+        SendRequest, //
     }, //
 };
 use hyper_util::rt::TokioIo;
@@ -41,6 +41,8 @@
 /// Longest wait for sent bytes to be acknowledged before the connection is closed: several
 /// round trips and retransmissions between the failure domains of one region.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum size of the read buffer, and so of the head of an answer, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 /// Address of an endpoint and its known capabilities.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -110,7 +112,9 @@
             Err(_) => return Err(failed(format!("no connection within {timeout:?}"))),
         };
         set_options(&stream).map_err(|error| failed(error.to_string()))?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(error.to_string()))?;
         // The request sender and the response body report the errors of this task.
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -13,7 +13,10 @@
     }, //
 };
 
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use http::{
     HeaderName,
     Request,
@@ -27,6 +30,7 @@
 };
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use tokio::sync::Semaphore;
 
 use crate::{
     Connection,
@@ -42,12 +46,19 @@
 pub const MAX_IDLE: usize = 256;
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Size up to which answers are collected without regard to others, in bytes.
+const SMALL_ANSWER_BYTES: usize = 64 << 10;
+/// Maximum number of larger answers that are collected at the same time.
+const MAX_LARGE_ANSWERS: usize = 4;
+/// Maximum number of chunks of a collected answer, each of which costs time however small it is.
+const MAX_CHUNKS: usize = 1 << 14;
 
 /// Idle connections by endpoint address.
 #[derive(Debug)]
 pub struct Pool {
     idle: Mutex<Table>,
     id_header: HeaderName,
+    large_answers: Semaphore,
 }
 
 impl Default for Pool {
@@ -117,7 +128,8 @@
 }
 
 impl Answer {
-    /// Reads the whole body, at most `limit_bytes`, within `timeout`.
+    /// Reads the whole body, at most `limit_bytes`, within `timeout`. A large body may have to wait
+    /// until others are complete.
     ///
     /// # Errors
     ///
@@ -133,10 +145,10 @@
             verdict: Verdict::MayHaveRun,
             fault,
         };
-        let collected = Limited::new(self.body, limit_bytes).collect();
+        let collected = collect(self.body, limit_bytes, &self.lease.pool.large_answers);
         let body = match tokio::time::timeout(timeout, collected).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(error)) => return Err(failed(Fault::Truncated(error.to_string()))),
+            Ok(Ok(body)) => body,
+            Ok(Err(fault)) => return Err(failed(fault)),
             Err(_) => return Err(failed(Fault::Timeout)),
         };
         self.lease.release();
@@ -144,12 +156,48 @@
     }
 }
 
+/// Collects a body of at most `limit_bytes`; beyond [`SMALL_ANSWER_BYTES`] only with a permit.
+async fn collect(
+    body: Incoming,
+    limit_bytes: usize,
+    large_answers: &Semaphore,
+) -> Result<Bytes, Fault> {
+    let mut body = Limited::new(body, limit_bytes);
+    let mut chunks: Vec<Bytes> = Vec::new();
+    let mut length = 0;
+    let mut permit = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Fault::Truncated(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        length += data.len();
+        if permit.is_none() && length > SMALL_ANSWER_BYTES {
+            // Fails only if the semaphore is closed, which it never is.
+            permit = large_answers.acquire().await.ok();
+        }
+        if chunks.len() == MAX_CHUNKS {
+            return Err(Fault::Truncated("too many chunks".to_owned()));
+        }
+        chunks.push(data);
+    }
+    if chunks.len() == 1 {
+        return Ok(chunks.swap_remove(0));
+    }
+    let mut collected = BytesMut::with_capacity(length);
+    for chunk in chunks {
+        collected.extend_from_slice(&chunk);
+    }
+    Ok(collected.freeze())
+}
+
 impl Pool {
     /// Creates an empty pool for endpoints that identify requests by `id_header`.
     pub fn new(id_header: HeaderName) -> Self {
         Self {
             idle: Mutex::default(),
             id_header,
+            large_answers: Semaphore::new(MAX_LARGE_ANSWERS),
         }
     }
 
