Bound the informational answers before an answer

What callers saw: with an endpoint that sends informational answers (1xx) without end, no verdict until the deadline, while the instance parsed them as fast as they came.

Cause: hyper skips informational answers without limit. Ruled out: memory, which they do not take.

Now a request gets 64 of them at most; then the answer counts as unreadable, the request as one that may have run, and the connection is closed.

--- a/crates/endpoint/src/connection.rs
+++ b/crates/endpoint/src/connection.rs
@@ -2,6 +2,13 @@
 
 use std::{
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        }, //
+    },
     time::Duration, //
 };
 
@@ -17,13 +24,15 @@
     client::conn::http1::{
         Builder,
         SendRequest, //
-    }, //
+    },
+    ext::on_informational, //
 };
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
+    sync::Notify,
     task::AbortHandle, //
 };
 
@@ -41,6 +50,8 @@
 /// Longest wait for sent bytes to be acknowledged before the connection is closed: several
 /// round trips and retransmissions between the failure domains of one region.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum number of informational answers before the answer to a request.
+const MAX_INFORMATIONAL: u32 = 64;
 /// Maximum size of the read buffer, and so of the head of an answer, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
@@ -150,7 +161,7 @@
     /// [`SendError::Unsent`] only if hyper returns the request unsent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         let address = self.target.address;
@@ -160,8 +171,16 @@
             verdict,
             fault,
         };
+        let flooded = limit_informational(&mut request);
         let sent = self.sender.try_send_request(request);
-        let response = match tokio::time::timeout(timeout, sent).await {
+        let sent = tokio::select! {
+            sent = tokio::time::timeout(timeout, sent) => sent,
+            () = flooded.notified() => {
+                let fault = Fault::Unreadable("too many informational answers".to_owned());
+                return Err(SendError::Failed(failed(Verdict::MayHaveRun, fault)));
+            }
+        };
+        let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => {
                 let fault = Fault::NoAnswer(error.error().to_string());
@@ -191,6 +210,20 @@
     }
 }
 
+/// Returns what is notified once the request has got too many informational answers, which hyper
+/// skips without limit.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let flooded = Arc::new(Notify::new());
+    let notify = flooded.clone();
+    let count = AtomicU32::new(0);
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL {
+            notify.notify_one();
+        }
+    });
+    flooded
+}
+
 /// Disables Nagle's algorithm and sets up the detection of a host that is gone without closing.
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
