Bound the bytes between two events of a chat stream

What was seen: a line without end in the stream of an engine was buffered, and parsed from its start with each piece that arrived, until the timeout.

Cause: the event parser of endpoint::stream has no limit.

Now the stream counts as broken off 1 MiB after its last event.

--- a/crates/endpoint/src/stream.rs
+++ b/crates/endpoint/src/stream.rs
@@ -3,15 +3,30 @@
 use std::{
     fmt,
     net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
     time::Duration, //
 };
 
+use bytes::Bytes;
 use eventsource_stream::{
     EventStream,
     Eventsource, //
 };
 use futures::{
     FutureExt,
+    Stream,
     StreamExt, //
 };
 use http_body_util::{
@@ -19,6 +34,7 @@
     BodyExt, //
 };
 use hyper::body::Incoming;
+use thiserror::Error;
 
 use crate::{
     Answer,
@@ -34,11 +50,50 @@
 
 /// Longest wait for the end of a body after its `[DONE]` event.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum number of bytes from one event to the next.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Why a body cannot be read further.
+#[derive(Debug)]
+#[derive(Error)]
+enum ReadError {
+    /// The body was cut off.
+    #[error(transparent)]
+    Body(#[from] hyper::Error),
+    /// The next event has not ended within [`MAX_EVENT_BYTES`].
+    #[error("event too large")]
+    EventTooLarge,
+}
+
+/// Data of a body, up to [`MAX_EVENT_BYTES`] beyond the last event.
+struct Bounded {
+    body: BodyDataStream<Incoming>,
+    /// Bytes read since the last event; reset by the reader of events.
+    pending_bytes: Arc<AtomicUsize>,
+}
+
+impl Stream for Bounded {
+    type Item = Result<Bytes, ReadError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let Some(data) = ready!(Pin::new(&mut self.body).poll_next(cx)) else {
+            return Poll::Ready(None);
+        };
+        let data = data?;
+        let before = self.pending_bytes.fetch_add(data.len(), Ordering::Relaxed);
+        if before + data.len() > MAX_EVENT_BYTES {
+            return Poll::Ready(Some(Err(ReadError::EventTooLarge)));
+        }
+        Poll::Ready(Some(Ok(data)))
+    }
+}
 
 /// Reads chunks in order and detects gaps, repeated tokens and a missing end.
 pub struct Reader {
     address: SocketAddr,
-    events: EventStream<BodyDataStream<Incoming>>,
+    events: EventStream<Bounded>,
+    /// Bytes read since the last event.
+    pending_bytes: Arc<AtomicUsize>,
     /// Index of the next token.
     next: u64,
     /// Whether a `finish_reason` has arrived.
@@ -60,9 +115,15 @@
 impl Reader {
     /// Reads `body`, whose first token must have the index `next`.
     pub fn new(address: SocketAddr, body: Incoming, next: u64) -> Self {
+        let pending_bytes = Arc::new(AtomicUsize::new(0));
+        let body = Bounded {
+            body: body.into_data_stream(),
+            pending_bytes: pending_bytes.clone(),
+        };
         Self {
             address,
-            events: body.into_data_stream().eventsource(),
+            events: body.eventsource(),
+            pending_bytes,
             next,
             has_finish_reason: false,
             has_usage: false,
@@ -102,6 +163,7 @@
                 Ok(None) => return Err(self.fail(Fault::Truncated("no end".to_owned()))),
                 Err(_) => return Err(self.fail(Fault::Timeout)),
             };
+            self.pending_bytes.store(0, Ordering::Relaxed);
             if event.data == DONE {
                 return self.check_end().map(|()| None);
             }
