Bound the chunks of answers of the table, peers, reports and orders

What was seen: with answers of the store in chunks of one byte, without end, the peak memory of an instance was 172 MB, where 110 are allowed.

Cause: the limit of such an answer counts bytes of the body, but each chunk also takes a descriptor and keeps the buffer in which it was read.

Now all clients collect bodies with platform::body, which allows 16,384 chunks; the endpoints' own collector moves there.

All 49 tests of the program pass; so do those of platform, endpoint, damaskctl, and of damaskd's programs requests, settings, restart and lease.

--- a/crates/endpoint/src/order.rs
+++ b/crates/endpoint/src/order.rs
@@ -27,11 +27,7 @@
     Request,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt,
-    Empty,
-    Limited, //
-};
+use http_body_util::Empty;
 use hyper::{
     body::{
         Body,
@@ -41,6 +37,7 @@
     client::conn::http1::handshake, //
 };
 use hyper_util::rt::TokioIo;
+use platform::body;
 use serde::{
     Deserialize,
     Serialize, //
@@ -248,10 +245,9 @@
     let round_trip = async move {
         let response = sender.send_request(request).await.map_err(no_answer)?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-        let body = body.await;
+        let body = body::collect(response.into_body(), MAX_ANSWER_BYTES).await;
         let body = body.map_err(|error| Fault::Truncated(error.to_string()))?;
-        Ok((status, body.to_bytes()))
+        Ok((status, body))
     };
     match select(pin!(round_trip), pin!(connection)).await {
         Either::Left((answer, _)) => answer,
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -13,23 +13,20 @@
     }, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use http::{
     HeaderName,
     Request,
     Response,
     response::Parts, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use platform::body::{
+    self,
+    Collector, //
+};
 use tokio::sync::Semaphore;
 
 use crate::{
@@ -50,8 +47,6 @@
 const SMALL_ANSWER_BYTES: usize = 64 << 10;
 /// Maximum number of larger answers that are collected at the same time.
 const MAX_LARGE_ANSWERS: usize = 4;
-/// Maximum number of chunks of a collected answer, each of which costs time however small it is.
-const MAX_CHUNKS: usize = 1 << 14;
 
 /// Idle connections by endpoint address.
 #[derive(Debug)]
@@ -162,33 +157,16 @@
     limit_bytes: usize,
     large_answers: &Semaphore,
 ) -> Result<Bytes, Fault> {
-    let mut body = Limited::new(body, limit_bytes);
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut length = 0;
+    let broken = |fault: body::Fault<hyper::Error>| Fault::Truncated(fault.to_string());
+    let mut collector = Collector::new(body, limit_bytes);
     let mut permit = None;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| Fault::Truncated(error.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        length += data.len();
+    while let Some(length) = collector.next().await.map_err(broken)? {
         if permit.is_none() && length > SMALL_ANSWER_BYTES {
             // Fails only if the semaphore is closed, which it never is.
             permit = large_answers.acquire().await.ok();
         }
-        if chunks.len() == MAX_CHUNKS {
-            return Err(Fault::Truncated("too many chunks".to_owned()));
-        }
-        chunks.push(data);
-    }
-    if chunks.len() == 1 {
-        return Ok(chunks.swap_remove(0));
-    }
-    let mut collected = BytesMut::with_capacity(length);
-    for chunk in chunks {
-        collected.extend_from_slice(&chunk);
     }
-    Ok(collected.freeze())
+    Ok(collector.join())
 }
 
 impl Pool {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -11,11 +11,7 @@
     Request,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper_util::{
     client::legacy::{
         Client as Pool,
@@ -25,6 +21,8 @@
 };
 use thiserror::Error;
 
+use crate::body;
+
 /// Maximum size of an answer's body, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -141,14 +139,13 @@
             Err(error) => return Err(lost_answer(error.to_string())),
         };
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
+        let body = body::collect(body, MAX_ANSWER_BYTES)
             .await
             .map_err(|error| lost_answer(error.to_string()))?;
         Ok(Answer {
             status: parts.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body,
         })
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! instance list is in the Prometheus HTTP service-discovery format. Each
 //! service has a trait, so that tests and other platforms can implement it.
 
+pub mod body;
 pub mod http;
 pub mod instances;
 pub mod objects;
