Bound an event of a stream to 128 KiB

What was seen: 200 streams at once from endpoints that never end an event brought an instance to a peak of 220 MB (210 in the release build), where 110 are allowed.

Cause: each stream buffers up to 1 MiB until its event ends, and nothing bounds all streams together. Waiting, as large answers do, is no way out for streams, whose events are due at once. An event holds the text of a few tokens, so the bound of one event can be lower.

--- a/crates/endpoint/src/events.rs
+++ b/crates/endpoint/src/events.rs
@@ -7,7 +7,7 @@
 use memchr::memmem;
 
 /// Largest event that is buffered until it is complete, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
