--- a/crates/endpoint/src/connection.rs
+++ b/crates/endpoint/src/connection.rs
@@ -2,6 +2,13 @@
 
 use std::{
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        }, //
+    },
     time::Duration, //
 };
 
@@ -15,15 +22,17 @@
 use hyper::{
     body::Incoming,
     client::conn::http1::{
-        SendRequest,
-        handshake, //
-    }, //
+        Builder,
+        SendRequest, //
+    },
+    ext::on_informational, //
 };
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
+    sync::Notify,
     task::AbortHandle, //
 };
 
@@ -41,6 +50,10 @@
 /// Longest wait for sent bytes to be acknowledged before the connection is closed: several
 /// round trips and retransmissions between the failure domains of one region.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum number of informational answers before the answer to a request.
+const MAX_INFORMATIONAL: u32 = 64;
+/// Maximum size of the read buffer, and so of the head of an answer, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 /// Address of an endpoint and its known capabilities.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -110,7 +123,9 @@
             Err(_) => return Err(failed(format!("no connection within {timeout:?}"))),
         };
         set_options(&stream).map_err(|error| failed(error.to_string()))?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(error.to_string()))?;
         // The request sender and the response body report the errors of this task.
@@ -146,7 +161,7 @@
     /// [`SendError::Unsent`] only if hyper returns the request unsent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         let address = self.target.address;
@@ -156,8 +171,16 @@
             verdict,
             fault,
         };
+        let flooded = limit_informational(&mut request);
         let sent = self.sender.try_send_request(request);
-        let response = match tokio::time::timeout(timeout, sent).await {
+        let sent = tokio::select! {
+            sent = tokio::time::timeout(timeout, sent) => sent,
+            () = flooded.notified() => {
+                let fault = Fault::Unreadable("too many informational answers".to_owned());
+                return Err(SendError::Failed(failed(Verdict::MayHaveRun, fault)));
+            }
+        };
+        let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => {
                 let fault = Fault::NoAnswer(error.error().to_string());
@@ -187,6 +210,20 @@
     }
 }
 
+/// Returns what is notified once the request has got too many informational answers, which hyper
+/// skips without limit.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let flooded = Arc::new(Notify::new());
+    let notify = flooded.clone();
+    let count = AtomicU32::new(0);
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL {
+            notify.notify_one();
+        }
+    });
+    flooded
+}
+
 /// Disables Nagle's algorithm and sets up the detection of a host that is gone without closing.
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -5,7 +5,6 @@
 //! another request, so that no leftover bytes can reach another caller.
 
 use std::{
-    error::Error,
     net::SocketAddr,
     sync::Arc,
     time::{
@@ -21,13 +20,17 @@
     Response,
     response::Parts, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use platform::body::{
+    self,
+    Collector, //
+};
+use tokio::sync::{
+    Semaphore,
+    SemaphorePermit, //
+};
 
 use crate::{
     Connection,
@@ -43,12 +46,17 @@
 pub const MAX_IDLE: usize = 256;
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Size up to which answers are collected without regard to others, in bytes.
+const SMALL_ANSWER_BYTES: usize = 64 << 10;
+/// Maximum number of larger answers that are collected at the same time.
+const MAX_LARGE_ANSWERS: usize = 4;
 
 /// Idle connections by endpoint address.
 #[derive(Debug)]
 pub struct Pool {
     idle: Mutex<Table>,
     id_header: HeaderName,
+    large_answers: Semaphore,
 }
 
 impl Default for Pool {
@@ -118,7 +126,8 @@
 }
 
 impl Answer {
-    /// Reads the whole body, at most `limit_bytes`, within `timeout`.
+    /// Reads the whole body, at most `limit_bytes`, within `timeout`. A large body may have to wait
+    /// until others are complete.
     ///
     /// # Errors
     ///
@@ -149,21 +158,19 @@
             verdict: Verdict::MayHaveRun,
             fault,
         };
-        let truncated =
-            |error: Box<dyn Error + Send + Sync>| failed(Fault::Truncated(error.to_string()));
-        let mut body = Limited::new(self.body, limit_bytes);
+        let large_answers = &self.lease.pool.large_answers;
         let collected = async {
-            let first = tokio::select! {
-                first = body.frame() => first.transpose().map_err(truncated)?,
+            let mut collector = Collector::new(self.body, limit_bytes);
+            let begun = tokio::select! {
+                begun = collector.next() => begun.map_err(broken).map_err(failed)?,
                 failure = expired => return Err(failure),
             };
-            let first = first.and_then(|frame| frame.into_data().ok());
-            let first = first.unwrap_or_default();
-            let rest = body.collect().await.map_err(truncated)?.to_bytes();
-            if rest.is_empty() {
-                return Ok(first);
+            let mut permit = None;
+            if begun.is_some() {
+                let rest = collect_rest(&mut collector, large_answers, &mut permit);
+                rest.await.map_err(failed)?;
             }
-            Ok([first, rest].concat().into())
+            Ok(collector.join())
         };
         let collected = tokio::time::timeout(timeout, collected).await;
         let body = collected.unwrap_or_else(|_| Err(failed(Fault::Timeout)))?;
@@ -172,12 +179,32 @@
     }
 }
 
+fn broken(fault: body::Fault<hyper::Error>) -> Fault {
+    Fault::Truncated(fault.to_string())
+}
+
+/// Reads the rest of a body; beyond [`SMALL_ANSWER_BYTES`] only with a permit.
+async fn collect_rest<'a>(
+    collector: &mut Collector<Incoming>,
+    large_answers: &'a Semaphore,
+    permit: &mut Option<SemaphorePermit<'a>>,
+) -> Result<(), Fault> {
+    while let Some(length) = collector.next().await.map_err(broken)? {
+        if permit.is_none() && length > SMALL_ANSWER_BYTES {
+            // Fails only if the semaphore is closed, which it never is.
+            *permit = large_answers.acquire().await.ok();
+        }
+    }
+    Ok(())
+}
+
 impl Pool {
     /// Creates an empty pool for endpoints that identify requests by `id_header`.
     pub fn new(id_header: HeaderName) -> Self {
         Self {
             idle: Mutex::default(),
             id_header,
+            large_answers: Semaphore::new(MAX_LARGE_ANSWERS),
         }
     }
 
--- a/crates/router/src/quarantine/detect.rs
+++ b/crates/router/src/quarantine/detect.rs
@@ -45,14 +45,15 @@
 const MAX_SENT_SEGMENTS: usize = 256;
 /// Delays before the checks of whether an endpoint is gone after connections to it broke; one that
 /// restarts quickly shows by its registration that it did.
-const CHECK_DELAYS: [Duration; 6] = [
+const CHECK_DELAYS: [Duration; 5] = [
     Duration::ZERO,
-    Duration::from_millis(50),
-    Duration::from_millis(200),
+    Duration::from_millis(100),
     Duration::from_millis(750),
     Duration::from_millis(2_000),
     Duration::from_millis(4_000),
 ];
+/// Number of the checks that open a connection; the others look at the registration only.
+const MAX_CONNECTIONS: usize = 2;
 /// Timeout of the connection that checks an endpoint.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -154,14 +155,15 @@
 /// Finds out whether an endpoint has crashed: it accepts no connection, or another incarnation
 /// takes its place.
 async fn check<P: Protocol>(node: Arc<Node<P>>, endpoint: Arc<Endpoint>) {
-    for delay in CHECK_DELAYS {
+    for (index, delay) in CHECK_DELAYS.into_iter().enumerate() {
         tokio::time::sleep(delay).await;
         let fleet = node.endpoints.fleet();
         let is_registered = fleet
             .of_service(&endpoint.registration.service)
             .iter()
             .any(|other| is_same_incarnation(other, &endpoint));
-        if !is_registered || is_refused(endpoint.registration.address).await {
+        let connects = index < MAX_CONNECTIONS;
+        if !is_registered || connects && is_refused(endpoint.registration.address).await {
             confirm(&node, &endpoint);
             return;
         }
