--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -50,10 +50,14 @@
 const REPORT_TIME: Duration = Duration::from_millis(500);
 /// Time in which other instances tell the last answer to a request with a segment.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Age at which an inquiry about a segment is repeated before the segment is found.
+const ASKED_MAX_AGE: Duration = Duration::from_millis(600);
 /// A crash counts for a segment if one in so many of the crashes around it hold the segment.
 const MIN_SHARE: usize = 4;
 /// Largest number of segments that one evaluation finds.
 const MAX_CULPRITS: usize = 32;
+/// Largest number of segments that one evaluation finds for the same crashes.
+const MAX_GROUP: usize = 16;
 /// Largest number of segments of which answers are asked.
 const MAX_OPEN: usize = 32;
 
@@ -132,13 +136,22 @@
     crashes: Vec<usize>,
 }
 
+/// When other instances were asked about a segment.
+#[derive(Clone, Copy, Debug)]
+struct Inquiry {
+    segment: u64,
+    at: Duration,
+    /// Whether the segment was found, so that they need not be asked again.
+    is_closed: bool,
+}
+
 /// Crashes and answers that the instances reported.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     log: Log,
     answers: Answers,
-    /// Segments of the last evaluation, sorted, and since when others are asked about them.
-    asked: Vec<(u64, Duration)>,
+    /// Segments of the last evaluation, sorted.
+    inquiries: Vec<Inquiry>,
 }
 
 impl Evidence {
@@ -218,20 +231,25 @@
                 break;
             };
             let group = self.group(best, suspects, explained);
-            let asked = group
-                .segments
-                .iter()
-                .map(|segment| self.asked(now, *segment));
-            let told = asked.max().unwrap_or(now) + ANSWER_TIME;
-            let due = group.due.earliest().map(|due| due.max(told));
-            if due.is_none_or(|due| due > now) {
+            let asked = group.segments.iter();
+            let asked = asked.map(|segment| self.asked_at(now, *segment)).max();
+            let told = asked.unwrap_or(now) + ANSWER_TIME;
+            let due = group.due.earliest();
+            let is_due = due.is_some_and(|due| due <= now);
+            if is_due {
+                for crash in &group.crashes {
+                    explained[*crash] = true;
+                }
+            }
+            if !is_due || told > now {
                 deferred.push(best.segment);
+                let due = due.map(|due| due.max(told));
                 evaluation.evaluate_at = evaluation.evaluate_at.into_iter().chain(due).min();
-                let open = group.segments.iter();
-                let new = open.filter(|segment| !evaluation.open.contains(segment));
-                let new: Vec<u64> = new.copied().collect();
-                evaluation.open.extend(new);
-                evaluation.open.truncate(MAX_OPEN);
+                let open = &mut evaluation.open;
+                open.retain(|segment| !group.segments.contains(segment));
+                let index = if is_due { 0 } else { open.len() };
+                open.splice(index..index, group.segments);
+                open.truncate(MAX_OPEN);
                 continue;
             }
             let is_settled = group.due.settled.is_some_and(|due| due <= now);
@@ -239,13 +257,10 @@
             let found: Vec<Suspect> = suspects.extract_if(.., is_found).collect();
             let culprits = found.iter().map(|suspect| Culprit {
                 segment: suspect.segment,
-                crashes: u32::try_from(suspect.remaining(explained).count()).unwrap_or(u32::MAX),
+                crashes: u32::try_from(suspect.crashes.len()).unwrap_or(u32::MAX),
                 is_ambiguous: found.len() > 1 || !is_settled,
             });
             evaluation.culprits.extend(culprits);
-            for crash in group.crashes {
-                explained[crash] = true;
-            }
         }
     }
 
@@ -283,6 +298,9 @@
             crashes: crashes.clone(),
         };
         for suspect in suspects {
+            if group.segments.len() >= MAX_GROUP {
+                break;
+            }
             let is_common = |crash: &usize| crashes.binary_search(crash).is_ok();
             let common = suspect.remaining(explained).filter(is_common).count();
             if suspect.was_answered == best.was_answered {
@@ -378,18 +396,32 @@
         }
     }
 
-    /// Since when other instances have been asked about a segment.
-    fn asked(&self, now: Duration, segment: u64) -> Duration {
-        let index = self.asked.binary_search_by_key(&segment, |(id, _)| *id);
-        index.map_or(now, |index| self.asked[index].1)
+    /// When other instances were last asked about a segment, if that is not too long ago.
+    fn asked_at(&self, now: Duration, segment: u64) -> Duration {
+        let inquiry = self.inquiry(segment);
+        let recent =
+            inquiry.filter(|inquiry| inquiry.is_closed || inquiry.at + ASKED_MAX_AGE >= now);
+        recent.map_or(now, |inquiry| inquiry.at)
+    }
+
+    fn inquiry(&self, segment: u64) -> Option<&Inquiry> {
+        let index = self
+            .inquiries
+            .binary_search_by_key(&segment, |inquiry| inquiry.segment);
+        Some(&self.inquiries[index.ok()?])
     }
 
     fn remember_asked(&mut self, now: Duration, evaluation: &Evaluation) {
-        let culprits = evaluation.culprits.iter().map(|culprit| culprit.segment);
-        let segments = culprits.chain(evaluation.open.iter().copied());
-        let asked = segments.map(|segment| (segment, self.asked(now, segment)));
-        let mut asked: Vec<(u64, Duration)> = asked.collect();
-        asked.sort_unstable();
-        self.asked = asked;
+        let open = evaluation.open.iter().map(|segment| (*segment, false));
+        let culprits = evaluation.culprits.iter();
+        let found = culprits.map(|culprit| (culprit.segment, true));
+        let inquiries = found.chain(open).map(|(segment, is_closed)| Inquiry {
+            segment,
+            at: self.asked_at(now, segment),
+            is_closed,
+        });
+        let mut inquiries: Vec<Inquiry> = inquiries.collect();
+        inquiries.sort_unstable_by_key(|inquiry| inquiry.segment);
+        self.inquiries = inquiries;
     }
 }
