Bound the chunks of a chat stream that bring no new token

What was seen: a chat stream of chunks without a token never ended, since each chunk came within the stall timeout, which is all that bounds a chat stream once it has begun.

Now a stream may have 1,024 chunks without a new token, besides one repeat of each earlier token, as an engine sends that ignores the position from which it is to resume. Beyond that it counts as unreadable.

The new test endless::endless_chunks_without_a_new_token_are_given_up failed for chunks without a token, not ended after 30 s (its second case, repeated tokens, was not reached); now both cases pass in 0.7 s. The tests of endpoint and of damaskd's program requests pass.

What remains: new tokens without end are not bounded. Counting them against the request's max_tokens needs the engines' counting to be settled first.

--- a/crates/endpoint/src/stream.rs
+++ b/crates/endpoint/src/stream.rs
@@ -52,6 +52,8 @@
 const END_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of bytes from one event to the next.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum number of chunks without a new token, beyond those that repeat earlier tokens.
+const MAX_IDLE_CHUNKS: u64 = 1024;
 
 /// Why a body cannot be read further.
 #[derive(Debug)]
@@ -96,6 +98,8 @@
     pending_bytes: Arc<AtomicUsize>,
     /// Index of the next token.
     next: u64,
+    /// Number of chunks without a new token.
+    idle_chunks: u64,
     /// Whether a `finish_reason` has arrived.
     has_finish_reason: bool,
     /// Whether usage has arrived and agrees with the number of tokens received.
@@ -125,6 +129,7 @@
             events: body.eventsource(),
             pending_bytes,
             next,
+            idle_chunks: 0,
             has_finish_reason: false,
             has_usage: false,
             lease: None,
@@ -209,6 +214,14 @@
 
     /// Checks a chunk and returns whether it is new; the caller drops repeated ones.
     fn accept(&mut self, chunk: &Chunk) -> Result<bool, Failure> {
+        if chunk.token_index.is_none_or(|index| index < self.next) {
+            self.idle_chunks += 1;
+            // An engine may repeat each earlier token once.
+            if self.idle_chunks > MAX_IDLE_CHUNKS.saturating_add(self.next) {
+                let reason = "too many chunks without a new token".to_owned();
+                return Err(self.fail(Fault::Unreadable(reason)));
+            }
+        }
         if let Some(index) = chunk.token_index {
             if index < self.next {
                 return Ok(false);
