Requests to plain services say nothing about segments

Found by an outside review, which showed it over real processes: when a plain route gets the same prompt header as the engines, its answers cleared the segment that crashes engines; 18 engines crashed in 20 s and two other segments were quarantined. Only requests to services with engines count now, and only they are checked.

--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -139,9 +139,11 @@
     }
 
     /// Ids of the segments that other requests may share: all but the last, which belongs to the
-    /// request itself.
+    /// request itself. None of a request to a plain service, which reads no prompt.
     pub fn shared_segments(&self) -> impl Iterator<Item = u64> {
-        let segments = self.head.segments.split_last();
+        let service = self.catalog.service(&self.service);
+        let is_engine = service.is_some_and(|service| service.engine.is_some());
+        let segments = self.head.segments.split_last().filter(|_| is_engine);
         segments
             .into_iter()
             .flat_map(|(_, shared)| shared.iter().map(|segment| segment.id))
