An answer that ends with its connection does not clear its segments

An empty answer is a break now, and the end of an answer clears its segments only if a length or chunks state it; later events clear them as before. A break counts only if the request may have reached the endpoint.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -255,10 +255,10 @@
             segments = is_break(&failure.fault).then(|| call.shared_segments_text()),
             reason = %failure.fault,
         );
-        if is_break(&failure.fault) && !selection.proof.is_given() {
+        let may_have_run = failure.verdict != Verdict::NotRun;
+        if may_have_run && is_break(&failure.fault) && !selection.proof.is_given() {
             quarantine::record_break(node, call, selection);
         }
-        let may_have_run = failure.verdict != Verdict::NotRun;
         if may_have_run {
             self.spend_charge();
         } else if let Some(trial) = &mut self.trial {
@@ -326,9 +326,13 @@
     }
 }
 
-/// Whether the connection ended before the answer was complete, as when an endpoint crashes.
+/// Whether the connection ended before the answer was complete, as when an endpoint crashes. An
+/// answer that ends with its connection may look complete, but empty.
 fn is_break(fault: &Fault) -> bool {
-    matches!(fault, Fault::NoAnswer(_) | Fault::Truncated(_))
+    matches!(
+        fault,
+        Fault::NoAnswer(_) | Fault::Truncated(_) | Fault::Empty
+    )
 }
 
 /// Maximum number of idle connections per endpoint of the call's service. Requests that may not
--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -32,7 +32,10 @@
     protocol::Protocol,
     refusal::Refusal,
     request::Call,
-    stream::millis, //
+    stream::{
+        has_framed_end,
+        millis, //
+    }, //
 };
 
 /// Maximum size of a buffered answer, in bytes.
@@ -100,7 +103,7 @@
     let result = result.await;
     if let Ok((head, _)) = &result {
         selection.record_first_token(node, call.class());
-        if head.status.is_success() {
+        if head.status.is_success() && has_framed_end(&head.headers) {
             selection.proof.record(node, call);
         }
     }
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -25,7 +25,9 @@
     pool::Lease, //
 };
 use http::{
+    HeaderMap,
     Response,
+    header,
     response::Parts, //
 };
 use http_body_util::BodyExt;
@@ -86,6 +88,8 @@
     body: Incoming,
     lease: Lease,
     splitter: Splitter,
+    /// Whether the answer says where it ends, other than by the end of its connection.
+    has_framed_end: bool,
 }
 
 /// The start of an endpoint's answer.
@@ -164,6 +168,7 @@
         } else {
             let mut upstream = Upstream {
                 selection,
+                has_framed_end: has_framed_end(&answer.head.headers),
                 body: answer.body,
                 lease: answer.lease,
                 splitter: Splitter::default(),
@@ -368,8 +373,11 @@
         }
         match self.upstream.next(&mut self.last_event, deadline).await {
             Ok(next) => {
-                // An engine that crashes on a segment may still send its first events.
-                self.upstream.selection.proof.record(&self.node, &self.call);
+                // An engine that crashes on a segment may still send its first events, and the end
+                // of an answer without a length may be that of its connection.
+                if next.is_some() || self.upstream.has_framed_end {
+                    self.upstream.selection.proof.record(&self.node, &self.call);
+                }
                 Ok(next)
             }
             Err(failure) => self.resume(failure).await,
@@ -417,6 +425,11 @@
     }
 }
 
+/// Whether an answer with these headers has a length or comes in chunks.
+pub fn has_framed_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Converts to whole milliseconds, for logs.
 pub fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
