A trial is given back only if no endpoint was reached

A rejection has reached the engine, so the trial is spent; only a connection that fails leaves it unspent.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -261,7 +261,7 @@
         }
         if may_have_run {
             self.spend_charge();
-        } else if let Some(trial) = &mut self.trial {
+        } else if let (Fault::Connect(_), Some(trial)) = (&failure.fault, &mut self.trial) {
             trial.set_spent(false);
         }
         if failure.fault == Fault::WeightsExpired {
