Hubs report quarantines from their records, and each break is checked anew

While the table was away, instances that are no hubs admitted the segment again every 7 s, since hubs reported what their latest evaluation found, which drops older crashes; they now report the records whose rows are not written. And a harmless break hid a crash of the same engine for the next 5 s; a break later than 500 ms is now one of its own, with its own checks.

--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -67,6 +67,8 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest delay after which a refused caller is told to return.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(10);
+/// Delay after which a caller is told to return while another request is the trial.
+const CLAIMED_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time for which a quarantine that only another instance has reported is kept; reports are
 /// repeated until the row is in the table.
 const REPORT_HORIZON: Duration = Duration::from_secs(3);
@@ -77,6 +79,8 @@
     segment: u64,
     /// When it was quarantined, as far as this instance knows.
     since: Duration,
+    /// Number of crashes for which it accounts, as far as this instance knows.
+    crashes: u32,
     /// Number of trials that were claimed.
     trials: u32,
     /// Whether other segments were present in the same crashes.
@@ -254,6 +258,7 @@
         let record = Record {
             segment: culprit.segment,
             since: now,
+            crashes: culprit.crashes,
             trials: 0,
             is_ambiguous: culprit.is_ambiguous,
             due,
@@ -306,7 +311,7 @@
             if let Some(trial) = table.claim(tried).await {
                 return Ok(Some(trial));
             }
-            MAX_RETRY_DELAY
+            CLAIMED_RETRY_DELAY
         }
         // Until its row is in the table, it is unknown when a trial is due.
         Admission::Refuse { retry_after } => retry_after.min(MAX_RETRY_DELAY),
--- a/crates/router/src/quarantine/detect.rs
+++ b/crates/router/src/quarantine/detect.rs
@@ -39,6 +39,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 /// Time for which a crash is sent again.
 const SEND_HORIZON: Duration = Duration::from_secs(5);
+/// Time within which the connections to a crashed endpoint break.
+const CRASH_SPREAD: Duration = Duration::from_millis(500);
 /// Maximum number of crashes in one message.
 const MAX_SENT_CRASHES: usize = 8;
 /// Maximum number of segments in one message.
@@ -82,12 +84,23 @@
     /// Records that a request with these segments broke off.
     pub fn add_break(&mut self, endpoint: Arc<Endpoint>, segments: Vec<u64>, now: Duration) {
         self.breaks.retain(|known| now < known.at + SEND_HORIZON);
-        let is_same = |known: &&mut Break| is_same_incarnation(&known.endpoint, &endpoint);
+        // An endpoint may have closed a single connection some time before it crashes.
+        let is_same = |known: &&mut Break| {
+            is_same_incarnation(&known.endpoint, &endpoint) && now < known.at + CRASH_SPREAD
+        };
         if let Some(known) = self.breaks.iter_mut().find(is_same) {
             known.segments.extend(segments);
             known.segments.sort_unstable();
             known.segments.dedup();
-            known.segments.truncate(MAX_SENT_SEGMENTS);
+            if known.segments.len() > MAX_SENT_SEGMENTS {
+                // Which are dropped differs between crashes, so that none is always dropped.
+                let at = now.as_nanos() as u64;
+                let rank = |segment: &u64| {
+                    xxhash_rust::xxh3::xxh3_64_with_seed(&segment.to_le_bytes(), at)
+                };
+                known.segments.sort_unstable_by_key(rank);
+                known.segments.truncate(MAX_SENT_SEGMENTS);
+            }
             known.changed = true;
             return;
         }
@@ -114,28 +127,30 @@
 
 /// Evaluates the evidence until the task is aborted.
 pub async fn run<P: Protocol>(node: &Arc<Node<P>>) {
-    let mut evaluate_at = None;
+    let mut evaluation = Evaluation::default();
     let mut sent_at = Duration::ZERO;
     loop {
         let woken = node.quarantine.evidence_added.notified();
-        let is_woken = tokio::time::timeout(SEND_INTERVAL, woken).await.is_ok();
+        let now = clock::now();
+        let until_due = evaluation.evaluate_at.map(|at| at.saturating_sub(now));
+        let wait = until_due.map_or(SEND_INTERVAL, |due| due.clamp(BATCH_DELAY, SEND_INTERVAL));
+        let is_woken = tokio::time::timeout(wait, woken).await.is_ok();
         if is_woken {
             tokio::time::sleep(BATCH_DELAY).await;
         }
         start_checks(node);
         let has_new = record_crashes(node);
         let now = clock::now();
-        let is_due = evaluate_at.is_some_and(|at| at <= now);
+        let is_due = evaluation.evaluate_at.is_some_and(|at| at <= now);
         let repeats = sent_at + SEND_INTERVAL <= now;
+        if is_woken || is_due {
+            evaluation = evaluate(node, now);
+        }
         if has_new || repeats {
             send_crashes(node, now).await;
         }
-        if is_woken || is_due || repeats {
-            let evaluation = evaluate(node, now);
-            if has_new || is_due || repeats {
-                send_suspects(node, &evaluation).await;
-            }
-            evaluate_at = evaluation.evaluate_at;
+        if has_new || is_due || repeats {
+            send_suspects(node, &evaluation).await;
         }
         if repeats {
             sent_at = now;
@@ -148,13 +163,13 @@
     let mut state = node.quarantine.state.lock();
     for known in state.detect.breaks.iter_mut().filter(|b| !b.checked) {
         known.checked = true;
-        tokio::spawn(check(node.clone(), known.endpoint.clone()));
+        tokio::spawn(check(node.clone(), known.endpoint.clone(), known.at));
     }
 }
 
 /// Finds out whether an endpoint has crashed: it accepts no connection, or another incarnation
 /// takes its place.
-async fn check<P: Protocol>(node: Arc<Node<P>>, endpoint: Arc<Endpoint>) {
+async fn check<P: Protocol>(node: Arc<Node<P>>, endpoint: Arc<Endpoint>, broken_at: Duration) {
     for (index, delay) in CHECK_DELAYS.into_iter().enumerate() {
         tokio::time::sleep(delay).await;
         let fleet = node.endpoints.fleet();
@@ -164,7 +179,7 @@
             .any(|other| is_same_incarnation(other, &endpoint));
         let connects = index < MAX_CONNECTIONS;
         if !is_registered || connects && is_refused(endpoint.registration.address).await {
-            confirm(&node, &endpoint);
+            confirm(&node, &endpoint, broken_at);
             return;
         }
     }
@@ -177,12 +192,12 @@
     matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-fn confirm<P: Protocol>(node: &Node<P>, endpoint: &Endpoint) {
+fn confirm<P: Protocol>(node: &Node<P>, endpoint: &Endpoint, broken_at: Duration) {
     let mut state = node.quarantine.state.lock();
     let breaks = &mut state.detect.breaks;
     for known in breaks
         .iter_mut()
-        .filter(|known| is_same_incarnation(&known.endpoint, endpoint))
+        .filter(|known| is_same_incarnation(&known.endpoint, endpoint) && known.at == broken_at)
     {
         known.confirmed = true;
         known.changed = true;
@@ -291,15 +306,14 @@
 }
 
 fn suspects(state: &super::State, evaluation: &Evaluation) -> Suspects {
-    let unwritten = |culprit: &&Culprit| {
-        let index = state.find(culprit.segment);
-        index.is_ok_and(|index| state.records[index].revision.is_none())
-    };
-    let culprits = evaluation.culprits.iter().filter(unwritten);
+    let unwritten = state
+        .records
+        .iter()
+        .filter(|record| record.revision.is_none() && record.source == Source::Own);
     Suspects {
         open: evaluation.open.clone(),
-        culprits: culprits
-            .map(|culprit| (culprit.segment, culprit.crashes, culprit.is_ambiguous))
+        culprits: unwritten
+            .map(|record| (record.segment, record.crashes, record.is_ambiguous))
             .collect(),
     }
 }
--- a/crates/router/src/quarantine/rows.rs
+++ b/crates/router/src/quarantine/rows.rs
@@ -126,6 +126,7 @@
     let mut record = Record {
         segment,
         since: now,
+        crashes: 0,
         trials: row.trials,
         is_ambiguous: row.is_ambiguous,
         due,
@@ -135,8 +136,13 @@
     };
     match state.find(segment) {
         Ok(index) => {
-            record.since = state.records[index].since;
-            state.records[index] = record;
+            let known = &mut state.records[index];
+            if known.revision.is_some_and(|known| known > change.revision) {
+                return;
+            }
+            record.since = known.since;
+            record.crashes = known.crashes;
+            *known = record;
         }
         Err(index) => state.records.insert(index, record),
     }
@@ -354,8 +360,10 @@
 /// Segments whose rows are to be deleted.
 fn obsolete_segments<P: Protocol>(node: &Node<P>, now: Duration) -> Vec<u64> {
     let state = node.quarantine.state.lock();
+    let deletes_unused = node.hub_rank() == Some(0);
     let unused = state.records.iter().filter(|record| {
-        record.revision.is_some() && record.due.saturating_add(UNUSED_HORIZON) < now
+        let due = record.due.max(record.joint_due);
+        deletes_unused && record.revision.is_some() && due.saturating_add(UNUSED_HORIZON) < now
     });
     let unused = unused.map(|record| record.segment);
     unused.chain(state.releases.iter().copied()).collect()
