Policy: evaluate in less time, and find segments whose inquiries are out of phase

Inquiries now hold for 1 s, over twice the time of an answer.

Suspects are sorted by crashes, so the search for the best one and its group ends early, and the crashes around each one are computed once.

--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -19,6 +19,7 @@
 
 use std::{
     cmp::Reverse,
+    ops::Range,
     time::Duration, //
 };
 
@@ -51,7 +52,7 @@
 /// Time in which other instances tell the last answer to a request with a segment.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Age at which an inquiry about a segment is repeated before the segment is found.
-const ASKED_MAX_AGE: Duration = Duration::from_millis(600);
+const ASKED_MAX_AGE: Duration = Duration::from_secs(1);
 /// A crash counts for a segment if one in so many of the crashes around it hold the segment.
 const MIN_SHARE: usize = 4;
 /// Largest number of segments that one evaluation finds.
@@ -180,10 +181,16 @@
     /// remain, since sound requests use them.
     pub fn evaluate(&mut self, now: Duration) -> Evaluation {
         let presences = self.log.presences(now);
+        let around = |crash| {
+            let at = self.log.time(crash);
+            let begin = at.saturating_sub(MOMENT / 2);
+            self.log.between(begin, at + MOMENT / 2)
+        };
+        let nearby: Vec<Range<usize>> = (0..self.log.len()).map(around).collect();
         let mut suspects: Vec<Suspect> = presences
             .chunk_by(|one, next| one.segment == next.segment)
             .filter(|presences| presences.len() >= MIN_OPEN_CRASHES)
-            .map(|presences| self.suspect(presences))
+            .map(|presences| self.suspect(presences, &nearby))
             .filter(|suspect| suspect.crashes.len() >= MIN_OPEN_CRASHES)
             .collect();
         suspects.sort_by_key(|suspect| Reverse(suspect.crashes.len()));
@@ -265,7 +272,7 @@
     }
 
     /// The suspect with most crashes that are not explained, if they are enough to find it sooner or
-    /// later.
+    /// later. The suspects come sorted by all their crashes, most first.
     fn best<'a>(
         &self,
         suspects: impl Iterator<Item = &'a Suspect>,
@@ -274,6 +281,9 @@
         let mut best = None;
         let mut best_count = MIN_CRASHES - 1;
         for suspect in suspects {
+            if suspect.crashes.len() <= best_count {
+                break;
+            }
             let count = suspect.remaining(explained).count();
             if count <= best_count {
                 continue;
@@ -289,7 +299,8 @@
     }
 
     /// The suspects that may be the cause of the crashes of `best`: those of its kind that account
-    /// for three quarters of them, and those answered before that account for all.
+    /// for three quarters of them, and those answered before that account for all. The suspects are
+    /// sorted by all their crashes, most first.
     fn group(&self, best: &Suspect, suspects: &[Suspect], explained: &[bool]) -> Group {
         let crashes: Vec<usize> = best.remaining(explained).collect();
         let mut group = Group {
@@ -298,7 +309,8 @@
             crashes: crashes.clone(),
         };
         for suspect in suspects {
-            if group.segments.len() >= MAX_GROUP {
+            let is_too_small = suspect.crashes.len() * 4 < crashes.len() * 3;
+            if is_too_small || group.segments.len() >= MAX_GROUP {
                 break;
             }
             let is_common = |crash: &usize| crashes.binary_search(crash).is_ok();
@@ -373,8 +385,9 @@
         moments
     }
 
-    /// The segment of `presences` with the crashes that count for it.
-    fn suspect(&self, presences: &[Presence]) -> Suspect {
+    /// The segment of `presences` with the crashes that count for it. `nearby` has the crashes
+    /// around each one.
+    fn suspect(&self, presences: &[Presence], nearby: &[Range<usize>]) -> Suspect {
         let segment = presences[0].segment;
         let answer = self.last_answer(segment);
         let time = |presence: &Presence| self.log.time(presence.crash);
@@ -382,11 +395,10 @@
             presences.partition_point(|presence| answer.is_some_and(|at| at > time(presence)));
         let since = &presences[start..];
         let is_frequent = |crash: &usize| {
-            let at = self.log.time(*crash);
-            let (begin, end) = (at.saturating_sub(MOMENT / 2), at + MOMENT / 2);
-            let own = since.partition_point(|presence| time(presence) <= end)
-                - since.partition_point(|presence| time(presence) < begin);
-            own * MIN_SHARE >= self.log.between(begin, end).len()
+            let around = &nearby[*crash];
+            let own = since.partition_point(|presence| presence.crash < around.end)
+                - since.partition_point(|presence| presence.crash < around.start);
+            own * MIN_SHARE >= around.len()
         };
         let crashes = since.iter().map(|presence| presence.crash);
         Suspect {
--- a/crates/policy/src/suspect/crash.rs
+++ b/crates/policy/src/suspect/crash.rs
@@ -1,6 +1,9 @@
 //! Crashes of endpoints, as several instances report them.
 
-use std::time::Duration;
+use std::{
+    ops::Range,
+    time::Duration, //
+};
 
 /// Reports of an endpoint's crash no further apart than this are about the same crash.
 const MERGE_WINDOW: Duration = Duration::from_secs(1);
@@ -106,7 +109,7 @@
     }
 
     /// Indices of the crashes from `begin` to `end`.
-    pub(super) fn between(&self, begin: Duration, end: Duration) -> std::ops::Range<usize> {
+    pub(super) fn between(&self, begin: Duration, end: Duration) -> Range<usize> {
         let start = self.crashes.partition_point(|crash| crash.first < begin);
         start..self.crashes.partition_point(|crash| crash.first <= end)
     }
