Policy: do not find companions when a culprit is answered

When a culprit was answered its crashes no longer counted for it, but still for segments that were beside it in three of them; these were then found. A segment now needs a crash that no segment found before accounts for. The test failed before: it got the companion as culprit.

Others are asked only about segments with crashes that are not accounted for and not older than 10 s, or that are about to be found.

--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -51,6 +51,9 @@
 const REPORT_TIME: Duration = Duration::from_millis(500);
 /// Time in which other instances tell the last answer to a request with a segment.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Age of a crash until which others are asked about its segments although none is about to be
+/// found.
+const OPEN_TIME: Duration = Duration::from_secs(10);
 /// Age at which an inquiry about a segment is repeated before the segment is found.
 const ASKED_MAX_AGE: Duration = Duration::from_secs(1);
 /// A crash counts for a segment if one in so many of the crashes around it hold the segment.
@@ -177,6 +180,8 @@
 
     /// Finds the segments that crash engines.
     ///
+    /// A segment is found by at least one crash that no segment found before accounts for: when a
+    /// culprit is answered, its crashes must not count for those that were beside it.
     /// Segments without a known answer are considered first, the others for the crashes that
     /// remain, since sound requests use them.
     pub fn evaluate(&mut self, now: Duration) -> Evaluation {
@@ -209,7 +214,13 @@
             if evaluation.open.len() >= MAX_OPEN {
                 break;
             }
-            if !evaluation.open.contains(&suspect.segment) {
+            let remaining = suspect.remaining(&explained);
+            let is_recent = |crash: &usize| self.log.time(*crash) + OPEN_TIME >= now;
+            let is_open = remaining
+                .filter(is_recent)
+                .nth(MIN_OPEN_CRASHES - 1)
+                .is_some();
+            if is_open && !evaluation.open.contains(&suspect.segment) {
                 evaluation.open.push(suspect.segment);
             }
         }
@@ -220,7 +231,7 @@
     /// Moves culprits from the suspects with or without an answer to the evaluation, and marks the
     /// crashes that they account for as explained.
     fn find(
-        &self,
+        &mut self,
         now: Duration,
         was_answered: bool,
         suspects: &mut Vec<Suspect>,
@@ -268,6 +279,9 @@
                 is_ambiguous: found.len() > 1 || !is_settled,
             });
             evaluation.culprits.extend(culprits);
+            for crash in group.crashes {
+                self.log.set_explained(crash);
+            }
         }
     }
 
@@ -289,8 +303,9 @@
                 continue;
             }
             let crashes: Vec<usize> = suspect.remaining(explained).collect();
+            let is_new = crashes.iter().any(|crash| !self.log.is_explained(*crash));
             let due = self.due(suspect.was_answered, &crashes, explained);
-            if due.earliest().is_some() {
+            if due.earliest().is_some() && (is_new || self.is_found(suspect.segment)) {
                 best = Some(suspect);
                 best_count = count;
             }
@@ -423,6 +438,11 @@
         Some(&self.inquiries[index.ok()?])
     }
 
+    fn is_found(&self, segment: u64) -> bool {
+        let inquiry = self.inquiry(segment);
+        inquiry.is_some_and(|inquiry| inquiry.is_closed)
+    }
+
     fn remember_asked(&mut self, now: Duration, evaluation: &Evaluation) {
         let open = evaluation.open.iter().map(|segment| (*segment, false));
         let culprits = evaluation.culprits.iter();
--- a/crates/policy/src/suspect/crash.rs
+++ b/crates/policy/src/suspect/crash.rs
@@ -29,6 +29,8 @@
     /// Time of the latest report.
     last: Duration,
     segments: Vec<u64>,
+    /// Whether a segment was found that accounts for it.
+    is_explained: bool,
 }
 
 impl Crash {
@@ -36,6 +38,7 @@
     fn merge(&mut self, other: Self) {
         self.first = self.first.min(other.first);
         self.last = self.last.max(other.last);
+        self.is_explained |= other.is_explained;
         self.segments.extend(other.segments);
         self.limit_segments();
     }
@@ -82,6 +85,7 @@
             first: at,
             last: at,
             segments: segments.to_vec(),
+            is_explained: false,
         };
         crash.limit_segments();
         let is_same = |old: &mut Crash| {
@@ -108,6 +112,16 @@
         self.crashes[index].first
     }
 
+    /// Whether a segment has been found that accounts for a crash, even if it was answered later.
+    pub(super) fn is_explained(&self, index: usize) -> bool {
+        self.crashes[index].is_explained
+    }
+
+    /// Records that a segment was found that accounts for a crash.
+    pub(super) fn set_explained(&mut self, index: usize) {
+        self.crashes[index].is_explained = true;
+    }
+
     /// Indices of the crashes from `begin` to `end`.
     pub(super) fn between(&self, begin: Duration, end: Duration) -> Range<usize> {
         let start = self.crashes.partition_point(|crash| crash.first < begin);
--- a/crates/policy/tests/suspect/evidence.rs
+++ b/crates/policy/tests/suspect/evidence.rs
@@ -202,3 +202,40 @@
     }
     assert_eq!(evidence.last_answer(POPULAR), Some(millis(49_900)));
 }
+
+/// Guards against a culprit that is never found because more segments come with it than others are
+/// asked about at a time.
+#[test]
+fn a_culprit_with_many_companions_is_found() {
+    let companions: Vec<u64> = (100..200).chain([SUSPECT]).collect();
+    let mut evidence = crashes(&[1_000, 2_000, 3_000, 4_000], &companions);
+    let mut found = Vec::new();
+    let mut at = millis(4_000);
+    while at < millis(14_000) {
+        let evaluation = evidence.evaluate(at);
+        found.extend(segments(&evaluation));
+        // A segment that was found is tried and answered, unless it is the culprit.
+        for segment in segments(&evaluation) {
+            if segment != SUSPECT {
+                evidence.record_answer(segment, at);
+            }
+        }
+        at += millis(200);
+    }
+    assert!(found.contains(&SUSPECT), "{found:?}");
+}
+
+/// Guards against a quarantine of companions after that of the culprit ended: its crashes no longer
+/// count for it, but still for them.
+#[test]
+fn companions_are_not_found_when_the_culprit_is_released() {
+    let mut evidence = crashes(&[1_000, 2_000, 3_000, 4_000, 5_000], &[SUSPECT]);
+    for endpoint in 0..3 {
+        evidence.record_crash(endpoint, millis(1_000 + 1_000 * endpoint), &[8]);
+    }
+    let evaluation = evaluate(&mut evidence, millis(5_000), millis(9_000));
+    assert_eq!(segments(&evaluation), [SUSPECT]);
+    evidence.record_answer(SUSPECT, millis(9_000));
+    let evaluation = evaluate(&mut evidence, millis(9_100), millis(20_000));
+    assert_eq!(segments(&evaluation), []);
+}
