Policy: find a new segment without waiting for segments answered before

A segment without an answer waited for the third moment of each segment that shares its crashes and was answered before; engines crashed meanwhile. It is now found at its own time, as ambiguous, and its crashes still count for the others. The time for reports falls from 500 to 200 ms.

--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -48,7 +48,7 @@
 /// Time without an answer after which fewer moments suffice.
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// Time in which the reports of other instances arrive.
-const REPORT_TIME: Duration = Duration::from_millis(500);
+const REPORT_TIME: Duration = Duration::from_millis(200);
 /// Time in which other instances tell the last answer to a request with a segment.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Age of a crash until which others are asked about its segments although none is about to be
@@ -120,15 +120,6 @@
     fn earliest(self) -> Option<Duration> {
         self.settled.into_iter().chain(self.silent).min()
     }
-
-    /// When both this and `other` hold.
-    fn and(self, other: Self) -> Self {
-        let later = |one: Option<Duration>, two| one.zip(two).map(|(one, two)| one.max(two));
-        Self {
-            settled: later(self.settled, other.settled),
-            silent: later(self.earliest(), other.earliest()),
-        }
-    }
 }
 
 /// Suspects that may be the cause of the same crashes.
@@ -138,6 +129,9 @@
     due: Due,
     /// Indices of the crashes for which they account.
     crashes: Vec<usize>,
+    /// Whether a segment that was answered before may be the cause as well, but it is too early to
+    /// tell.
+    has_rival: bool,
 }
 
 /// When other instances were asked about a segment.
@@ -200,6 +194,8 @@
             .collect();
         suspects.sort_by_key(|suspect| Reverse(suspect.crashes.len()));
         let mut explained = vec![false; self.log.len()];
+        // Crashes that the other segments may account for as well.
+        let mut shared = Vec::new();
         let mut evaluation = Evaluation::default();
         for was_answered in [false, true] {
             self.find(
@@ -207,8 +203,12 @@
                 was_answered,
                 &mut suspects,
                 &mut explained,
+                &mut shared,
                 &mut evaluation,
             );
+            for crash in shared.drain(..) {
+                explained[crash] = false;
+            }
         }
         for suspect in &suspects {
             if evaluation.open.len() >= MAX_OPEN {
@@ -236,6 +236,7 @@
         was_answered: bool,
         suspects: &mut Vec<Suspect>,
         explained: &mut [bool],
+        shared: &mut Vec<usize>,
         evaluation: &mut Evaluation,
     ) {
         // Segments of which it is too early to tell. They explain nothing, so that a segment that
@@ -248,7 +249,7 @@
             let Some(best) = self.best(eligible, explained) else {
                 break;
             };
-            let group = self.group(best, suspects, explained);
+            let group = self.group(now, best, suspects, explained);
             let asked = group.segments.iter();
             let asked = asked.map(|segment| self.asked_at(now, *segment)).max();
             let told = asked.unwrap_or(now) + ANSWER_TIME;
@@ -276,11 +277,15 @@
             let culprits = found.iter().map(|suspect| Culprit {
                 segment: suspect.segment,
                 crashes: u32::try_from(suspect.crashes.len()).unwrap_or(u32::MAX),
-                is_ambiguous: found.len() > 1 || !is_settled,
+                is_ambiguous: found.len() > 1 || !is_settled || group.has_rival,
             });
             evaluation.culprits.extend(culprits);
-            for crash in group.crashes {
-                self.log.set_explained(crash);
+            if group.has_rival {
+                shared.extend(group.crashes);
+            } else {
+                for crash in group.crashes {
+                    self.log.set_explained(crash);
+                }
             }
         }
     }
@@ -316,12 +321,19 @@
     /// The suspects that may be the cause of the crashes of `best`: those of its kind that account
     /// for three quarters of them, and those answered before that account for all. The suspects are
     /// sorted by all their crashes, most first.
-    fn group(&self, best: &Suspect, suspects: &[Suspect], explained: &[bool]) -> Group {
+    fn group(
+        &self,
+        now: Duration,
+        best: &Suspect,
+        suspects: &[Suspect],
+        explained: &[bool],
+    ) -> Group {
         let crashes: Vec<usize> = best.remaining(explained).collect();
         let mut group = Group {
             segments: Vec::new(),
             due: self.due(best.was_answered, &crashes, explained),
             crashes: crashes.clone(),
+            has_rival: false,
         };
         for suspect in suspects {
             let is_too_small = suspect.crashes.len() * 4 < crashes.len() * 3;
@@ -337,11 +349,11 @@
             } else if suspect.was_answered && common == crashes.len() {
                 let remaining: Vec<usize> = suspect.remaining(explained).collect();
                 let due = self.due(true, &remaining, explained);
-                if due.earliest().is_none() {
+                if due.earliest().is_none_or(|due| due > now) {
+                    group.has_rival = true;
                     continue;
                 }
                 group.segments.push(suspect.segment);
-                group.due = group.due.and(due);
                 if remaining.len() > group.crashes.len() {
                     group.crashes = remaining;
                 }
