--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -19,6 +19,7 @@
 
 use std::{
     cmp::Reverse,
+    ops::Range,
     time::Duration, //
 };
 
@@ -46,15 +47,15 @@
 const MIN_SHORT_MOMENTS: usize = 3;
 /// Time without an answer after which fewer moments suffice.
 const SILENCE: Duration = Duration::from_millis(1_500);
-/// Age of its last crash from which a segment is no longer found. Older crashes may have lost the
-/// segment that caused them, because it was answered since.
-const RECENT: Duration = Duration::from_secs(4);
 /// Time in which the reports of other instances arrive.
-const REPORT_TIME: Duration = Duration::from_millis(500);
+const REPORT_TIME: Duration = Duration::from_millis(200);
 /// Time in which other instances tell the last answer to a request with a segment.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Age of a crash until which others are asked about its segments although none is about to be
+/// found.
+const OPEN_TIME: Duration = Duration::from_secs(10);
 /// Age at which an inquiry about a segment is repeated before the segment is found.
-const ASKED_MAX_AGE: Duration = Duration::from_millis(600);
+const ASKED_MAX_AGE: Duration = Duration::from_secs(1);
 /// A crash counts for a segment if one in so many of the crashes around it hold the segment.
 const MIN_SHARE: usize = 4;
 /// Largest number of segments that one evaluation finds.
@@ -119,15 +120,6 @@
     fn earliest(self) -> Option<Duration> {
         self.settled.into_iter().chain(self.silent).min()
     }
-
-    /// When both this and `other` hold.
-    fn and(self, other: Self) -> Self {
-        let later = |one: Option<Duration>, two| one.zip(two).map(|(one, two)| one.max(two));
-        Self {
-            settled: later(self.settled, other.settled),
-            silent: later(self.earliest(), other.earliest()),
-        }
-    }
 }
 
 /// Suspects that may be the cause of the same crashes.
@@ -137,6 +129,9 @@
     due: Due,
     /// Indices of the crashes for which they account.
     crashes: Vec<usize>,
+    /// Whether a segment that was answered before may be the cause as well, but it is too early to
+    /// tell.
+    has_rival: bool,
 }
 
 /// When other instances were asked about a segment.
@@ -179,18 +174,28 @@
 
     /// Finds the segments that crash engines.
     ///
+    /// A segment is found by at least one crash that no segment found before accounts for: when a
+    /// culprit is answered, its crashes must not count for those that were beside it.
     /// Segments without a known answer are considered first, the others for the crashes that
     /// remain, since sound requests use them.
     pub fn evaluate(&mut self, now: Duration) -> Evaluation {
         let presences = self.log.presences(now);
+        let around = |crash| {
+            let at = self.log.time(crash);
+            let begin = at.saturating_sub(MOMENT / 2);
+            self.log.between(begin, at + MOMENT / 2)
+        };
+        let nearby: Vec<Range<usize>> = (0..self.log.len()).map(around).collect();
         let mut suspects: Vec<Suspect> = presences
             .chunk_by(|one, next| one.segment == next.segment)
             .filter(|presences| presences.len() >= MIN_OPEN_CRASHES)
-            .map(|presences| self.suspect(presences))
+            .map(|presences| self.suspect(presences, &nearby))
             .filter(|suspect| suspect.crashes.len() >= MIN_OPEN_CRASHES)
             .collect();
         suspects.sort_by_key(|suspect| Reverse(suspect.crashes.len()));
         let mut explained = vec![false; self.log.len()];
+        // Crashes that the other segments may account for as well.
+        let mut shared = Vec::new();
         let mut evaluation = Evaluation::default();
         for was_answered in [false, true] {
             self.find(
@@ -198,14 +203,24 @@
                 was_answered,
                 &mut suspects,
                 &mut explained,
+                &mut shared,
                 &mut evaluation,
             );
+            for crash in shared.drain(..) {
+                explained[crash] = false;
+            }
         }
         for suspect in &suspects {
             if evaluation.open.len() >= MAX_OPEN {
                 break;
             }
-            if !evaluation.open.contains(&suspect.segment) {
+            let remaining = suspect.remaining(&explained);
+            let is_recent = |crash: &usize| self.log.time(*crash) + OPEN_TIME >= now;
+            let is_open = remaining
+                .filter(is_recent)
+                .nth(MIN_OPEN_CRASHES - 1)
+                .is_some();
+            if is_open && !evaluation.open.contains(&suspect.segment) {
                 evaluation.open.push(suspect.segment);
             }
         }
@@ -216,11 +231,12 @@
     /// Moves culprits from the suspects with or without an answer to the evaluation, and marks the
     /// crashes that they account for as explained.
     fn find(
-        &self,
+        &mut self,
         now: Duration,
         was_answered: bool,
         suspects: &mut Vec<Suspect>,
         explained: &mut [bool],
+        shared: &mut Vec<usize>,
         evaluation: &mut Evaluation,
     ) {
         // Segments of which it is too early to tell. They explain nothing, so that a segment that
@@ -233,12 +249,7 @@
             let Some(best) = self.best(eligible, explained) else {
                 break;
             };
-            let group = self.group(best, suspects, explained);
-            let last = group.crashes.last().map(|crash| self.log.time(*crash));
-            if last.is_none_or(|last| last + RECENT < now) {
-                deferred.push(best.segment);
-                continue;
-            }
+            let group = self.group(now, best, suspects, explained);
             let asked = group.segments.iter();
             let asked = asked.map(|segment| self.asked_at(now, *segment)).max();
             let told = asked.unwrap_or(now) + ANSWER_TIME;
@@ -266,14 +277,21 @@
             let culprits = found.iter().map(|suspect| Culprit {
                 segment: suspect.segment,
                 crashes: u32::try_from(suspect.crashes.len()).unwrap_or(u32::MAX),
-                is_ambiguous: found.len() > 1 || !is_settled,
+                is_ambiguous: found.len() > 1 || !is_settled || group.has_rival,
             });
             evaluation.culprits.extend(culprits);
+            if group.has_rival {
+                shared.extend(group.crashes);
+            } else {
+                for crash in group.crashes {
+                    self.log.set_explained(crash);
+                }
+            }
         }
     }
 
     /// The suspect with most crashes that are not explained, if they are enough to find it sooner or
-    /// later.
+    /// later. The suspects come sorted by all their crashes, most first.
     fn best<'a>(
         &self,
         suspects: impl Iterator<Item = &'a Suspect>,
@@ -282,13 +300,17 @@
         let mut best = None;
         let mut best_count = MIN_CRASHES - 1;
         for suspect in suspects {
+            if suspect.crashes.len() <= best_count {
+                break;
+            }
             let count = suspect.remaining(explained).count();
             if count <= best_count {
                 continue;
             }
             let crashes: Vec<usize> = suspect.remaining(explained).collect();
+            let is_new = crashes.iter().any(|crash| !self.log.is_explained(*crash));
             let due = self.due(suspect.was_answered, &crashes, explained);
-            if due.earliest().is_some() {
+            if due.earliest().is_some() && (is_new || self.is_found(suspect.segment)) {
                 best = Some(suspect);
                 best_count = count;
             }
@@ -297,16 +319,25 @@
     }
 
     /// The suspects that may be the cause of the crashes of `best`: those of its kind that account
-    /// for three quarters of them, and those answered before that account for all.
-    fn group(&self, best: &Suspect, suspects: &[Suspect], explained: &[bool]) -> Group {
+    /// for three quarters of them, and those answered before that account for all. The suspects are
+    /// sorted by all their crashes, most first.
+    fn group(
+        &self,
+        now: Duration,
+        best: &Suspect,
+        suspects: &[Suspect],
+        explained: &[bool],
+    ) -> Group {
         let crashes: Vec<usize> = best.remaining(explained).collect();
         let mut group = Group {
             segments: Vec::new(),
             due: self.due(best.was_answered, &crashes, explained),
             crashes: crashes.clone(),
+            has_rival: false,
         };
         for suspect in suspects {
-            if group.segments.len() >= MAX_GROUP {
+            let is_too_small = suspect.crashes.len() * 4 < crashes.len() * 3;
+            if is_too_small || group.segments.len() >= MAX_GROUP {
                 break;
             }
             let is_common = |crash: &usize| crashes.binary_search(crash).is_ok();
@@ -318,11 +349,11 @@
             } else if suspect.was_answered && common == crashes.len() {
                 let remaining: Vec<usize> = suspect.remaining(explained).collect();
                 let due = self.due(true, &remaining, explained);
-                if due.earliest().is_none() {
+                if due.earliest().is_none_or(|due| due > now) {
+                    group.has_rival = true;
                     continue;
                 }
                 group.segments.push(suspect.segment);
-                group.due = group.due.and(due);
                 if remaining.len() > group.crashes.len() {
                     group.crashes = remaining;
                 }
@@ -381,8 +412,9 @@
         moments
     }
 
-    /// The segment of `presences` with the crashes that count for it.
-    fn suspect(&self, presences: &[Presence]) -> Suspect {
+    /// The segment of `presences` with the crashes that count for it. `nearby` has the crashes
+    /// around each one.
+    fn suspect(&self, presences: &[Presence], nearby: &[Range<usize>]) -> Suspect {
         let segment = presences[0].segment;
         let answer = self.last_answer(segment);
         let time = |presence: &Presence| self.log.time(presence.crash);
@@ -390,11 +422,10 @@
             presences.partition_point(|presence| answer.is_some_and(|at| at > time(presence)));
         let since = &presences[start..];
         let is_frequent = |crash: &usize| {
-            let at = self.log.time(*crash);
-            let (begin, end) = (at.saturating_sub(MOMENT / 2), at + MOMENT / 2);
-            let own = since.partition_point(|presence| time(presence) <= end)
-                - since.partition_point(|presence| time(presence) < begin);
-            own * MIN_SHARE >= self.log.between(begin, end).len()
+            let around = &nearby[*crash];
+            let own = since.partition_point(|presence| presence.crash < around.end)
+                - since.partition_point(|presence| presence.crash < around.start);
+            own * MIN_SHARE >= around.len()
         };
         let crashes = since.iter().map(|presence| presence.crash);
         Suspect {
@@ -419,6 +450,11 @@
         Some(&self.inquiries[index.ok()?])
     }
 
+    fn is_found(&self, segment: u64) -> bool {
+        let inquiry = self.inquiry(segment);
+        inquiry.is_some_and(|inquiry| inquiry.is_closed)
+    }
+
     fn remember_asked(&mut self, now: Duration, evaluation: &Evaluation) {
         let open = evaluation.open.iter().map(|segment| (*segment, false));
         let culprits = evaluation.culprits.iter();
