--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -163,11 +163,6 @@
         }
     }
 
-    /// Whether times by the table's clock can be converted.
-    pub fn knows_table_clock(&self) -> bool {
-        self.state.lock().table_clock.is_some()
-    }
-
     /// Converts a time by the table's clock to local time; `None` until the table's clock is known.
     pub fn local_time(&self, time: Duration) -> Option<Duration> {
         let (clock, at) = self.state.lock().table_clock?;
--- a/crates/router/src/weights.rs
+++ b/crates/router/src/weights.rs
@@ -123,7 +123,8 @@
     fn estimate_found(&self, versions: &mut Versions) {
         let is_table_read = self.mirrors.instances.revision() > 0;
         let found: Vec<(u64, u64)> = versions.found().collect();
-        if found.is_empty() || !is_table_read || !self.exchange.knows_table_clock() {
+        let is_clock_known = self.exchange.table_time(clock::now()).is_some();
+        if found.is_empty() || !is_table_read || !is_clock_known {
             return;
         }
         for (version, revision) in found {
