--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -64,7 +64,7 @@
 /// Maximum number of quarantined segments; further ones are not quarantined.
 const MAX_RECORDS: usize = 256;
 /// Timeout of the claim of a trial, which delays the request.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest delay after which a refused caller is told to return.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(10);
 /// Delay after which a caller is told to return while another request is the trial.
@@ -155,6 +155,8 @@
     records: Vec<Record>,
     /// Claims that no task has taken yet.
     claims: Vec<Claim>,
+    /// Segments of the claims without a result.
+    claimed: Vec<u64>,
     /// Segments of trials that reached no endpoint, each with whether the request held others, too.
     unspent: Vec<(u64, bool)>,
     /// Segments whose rows are to be deleted.
@@ -280,16 +282,29 @@
         );
     }
 
-    /// Claims a trial of these segments; `None` if another instance has claimed it, or if the
-    /// table does not answer.
+    /// Claims a trial of these segments; `None` if another request has claimed it, or if the table
+    /// does not answer.
     async fn claim(&self, segments: Vec<u64>) -> Option<Trial> {
         let (granted, answer) = oneshot::channel();
-        let claim = Claim { segments, granted };
-        self.state.lock().claims.push(claim);
+        if !self.push_claim(Claim { segments, granted }) {
+            return None;
+        }
         self.rows_outdated.notify_one();
         let answer = tokio::time::timeout(CLAIM_TIMEOUT, answer).await;
         answer.ok()?.ok()
     }
+
+    /// Queues a claim; `false` if another one of this instance has no result yet.
+    fn push_claim(&self, claim: Claim) -> bool {
+        let mut state = self.state.lock();
+        let mut segments = claim.segments.iter();
+        if segments.any(|segment| state.claimed.contains(segment)) {
+            return false;
+        }
+        state.claimed.extend(&claim.segments);
+        state.claims.push(claim);
+        true
+    }
 }
 
 /// Checks whether a request may be sent to an endpoint; returns the trial if it may be sent as one.
--- a/crates/router/src/quarantine/rows.rs
+++ b/crates/router/src/quarantine/rows.rs
@@ -258,12 +258,16 @@
 
 /// Claims a trial by moving the time of the next one, so that no other instance sends one.
 async fn grant<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W, claim: Claim) {
-    let Some(writes) = claim_writes(&node, &claim.segments, clock::now()) else {
-        return;
+    let writes = claim_writes(&node, &claim.segments, clock::now());
+    let is_written = match &writes {
+        Some(writes) => write(&*node, &table, writes).await,
+        None => false,
     };
-    if !write(&*node, &table, &writes).await {
+    let is_other = |segment: &u64| !claim.segments.contains(segment);
+    node.quarantine.state.lock().claimed.retain(is_other);
+    let Some(writes) = writes.filter(|_| is_written) else {
         return;
-    }
+    };
     for Write { row, record } in &writes {
         emit!(
             info,
