Policy: compare groups of crashes by a table

group() looked up each crash of each suspect by binary search; it now marks the crashes of the best one.

--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -329,6 +329,10 @@
         explained: &[bool],
     ) -> Group {
         let crashes: Vec<usize> = best.remaining(explained).collect();
+        let mut is_own = vec![false; explained.len()];
+        for crash in &crashes {
+            is_own[*crash] = true;
+        }
         let mut group = Group {
             segments: Vec::new(),
             due: self.due(best.was_answered, &crashes, explained),
@@ -340,7 +344,7 @@
             if is_too_small || group.segments.len() >= MAX_GROUP {
                 break;
             }
-            let is_common = |crash: &usize| crashes.binary_search(crash).is_ok();
+            let is_common = |crash: &usize| is_own[*crash];
             let common = suspect.remaining(explained).filter(is_common).count();
             if suspect.was_answered == best.was_answered {
                 if common * 4 >= crashes.len() * 3 {
