--- a/crates/policy/tests/suspect/day.rs
+++ b/crates/policy/tests/suspect/day.rs
@@ -173,3 +173,36 @@
     }
     assert!(count > DAYS / 2, "{count}");
 }
+
+/// Guards against a segment that is not found since another one was in three of its five crashes.
+#[test]
+fn a_segment_in_the_crashes_of_another_is_found() {
+    let mut scenario = Scenario::new(508);
+    let mut second = scenario.triggers[0];
+    second.segment += 1;
+    scenario.triggers.push(second);
+    let outcome = Fleet::run(&scenario);
+    assert!(outcome.fifth_crash(TRIGGER).is_some());
+    let mut quarantines = outcome.quarantines.iter();
+    assert!(quarantines.any(|quarantine| quarantine.segment == TRIGGER));
+}
+
+/// Guards against crashes that do not count since half of the engines fail a moment later, for
+/// another reason.
+#[test]
+fn a_mass_failure_hides_no_crashing_segment() {
+    check(&Scenario::with_failures(1_768));
+}
+
+/// Guards against a quarantine of what everyone uses when instances notice one failure of several
+/// engines at different times and answers are slow.
+#[test]
+fn a_failure_noticed_over_some_time_quarantines_nothing() {
+    let mut scenario = Scenario::with_failures(1_028);
+    scenario.triggers.clear();
+    for (_, percent) in &mut scenario.failures {
+        *percent = 50;
+    }
+    let quarantines = Fleet::run(&scenario).quarantines;
+    assert!(quarantines.is_empty(), "{quarantines:?}");
+}
