Date a version of weights by the last view of the table without it

After a pause of all instances the term of superseded weights began at the end of the pause. Cause: a newly seen version was dated by the moment at which it was seen, and what had waited for a stopped instance, an answer of the table or a digest of a hub, counted as new when it was read.

Each instance now keeps the time, by the table's clock, up to which its rows of operators are complete. An answer of the table says it; a hub passes it on as the age of its view in digests. A new version is dated by that time, read before the rows change. While there is none the version counts as found at the start.

Ruled out: local time of receipt and of sending; the first is late after a pause, the second a whole poll too early in calm operation.

A partition is covered by the same rule and not tested. A version is dated up to a poll before its naming.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -7,6 +7,7 @@
 //! connection.
 
 mod fetch;
+mod time;
 
 use std::{
     net::SocketAddr,
@@ -99,6 +100,8 @@
     table_answered_at: Option<Duration>,
     /// A time by the table's clock, and the local time at which it was received.
     table_clock: Option<(Duration, Duration)>,
+    /// Time by the table's clock up to which this instance's rows of operators are complete.
+    confirmed: Option<Duration>,
     /// Whether a fetch from a hub is in progress.
     is_fetching: bool,
     /// Time since which a hub has changes that this instance lacks.
@@ -165,27 +168,6 @@
             .any(|hub| now.saturating_sub(hub.received_at) <= MAX_LAG)
     }
 
-    /// Records an answer of the table to this instance, with the time by the table's clock if any.
-    pub fn record_table_answer(&self, now: Duration, clock: Option<Duration>) {
-        let mut state = self.state.lock();
-        state.table_answered_at = Some(now);
-        if let Some(clock) = clock {
-            state.table_clock = Some((clock, now));
-        }
-    }
-
-    /// Converts a time by the table's clock to local time; `None` until the table's clock is known.
-    pub fn local_time(&self, time: Duration) -> Option<Duration> {
-        let (clock, at) = self.state.lock().table_clock?;
-        Some((at + time).saturating_sub(clock))
-    }
-
-    /// Converts a local time to the table's clock; `None` until that clock is known.
-    pub fn table_time(&self, now: Duration) -> Option<Duration> {
-        let (clock, at) = self.state.lock().table_clock?;
-        Some((clock + now).saturating_sub(at))
-    }
-
     /// Records a digest of a hub, and drops old ones.
     fn record_hub(&self, digest: &Digest, now: Duration) {
         let mut state = self.state.lock();
@@ -198,7 +180,7 @@
             view_age: Duration::from_millis(u64::from(digest.view_age_ms)),
         });
         if let Some(clock) = digest.table_ms {
-            state.table_clock = Some((Duration::from_millis(clock), now));
+            state.record_clock(Duration::from_millis(clock), now);
         }
     }
 
@@ -365,6 +347,13 @@
     node.endpoints
         .extend_grace(now, duration_from_millis(digest.lenient_ms));
     let positions = digest.positions;
+    if node.mirrors.operator.advance(positions.operator)
+        && let Some(table_ms) = digest.table_ms
+    {
+        let view_age = u64::from(digest.view_age_ms);
+        let confirmed = Duration::from_millis(table_ms.saturating_sub(view_age));
+        node.exchange.confirm(confirmed);
+    }
     let pairs = [
         (&node.mirrors.operator, positions.operator),
         (&node.mirrors.endpoints, positions.endpoints),
@@ -436,9 +425,7 @@
 fn digest<P: Protocol>(node: &Node<P>, now: Duration, is_full: bool) -> Digest {
     let table_ms = node.exchange.table_time(now);
     let state = node.exchange.state.lock();
-    let view_age = state
-        .table_answered_at
-        .map_or(Duration::MAX, |at| now.saturating_sub(at));
+    let view_age = state.view_age(now).unwrap_or(Duration::MAX);
     let alive = state
         .sightings
         .iter()
--- a/crates/router/src/exchange/fetch.rs
+++ b/crates/router/src/exchange/fetch.rs
@@ -27,6 +27,7 @@
 
 /// Applies changes of one feed; `false` if earlier changes are missing.
 pub(super) fn apply_delta<P: Protocol>(node: &Node<P>, feed: Feed, delta: Delta) -> bool {
+    let confirmed = node.exchange.confirmed();
     let Some(changes) = mirror(node, feed).apply_delta(delta) else {
         return false;
     };
@@ -34,7 +35,7 @@
         return true;
     }
     match feed {
-        Feed::Operator => node.apply_operator_changes(&changes),
+        Feed::Operator => node.apply_operator_changes(&changes, confirmed),
         Feed::Endpoints => node.apply_endpoint_changes(&changes),
         Feed::Instances => node.apply_instance_changes(&changes),
     }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -218,10 +218,11 @@
         !self.is_stopping() && self.knows_state()
     }
 
-    /// Applies changed rows of operators.
-    pub fn apply_operator_changes(&self, changes: &[Change]) {
+    /// Applies changed rows of operators; `confirmed` is a time by the table's clock at which the
+    /// table did not have the changes, if one is known.
+    pub fn apply_operator_changes(&self, changes: &[Change], confirmed: Option<Duration>) {
         // The first rows were there before this instance started.
-        let is_first = !self.has_catalog();
+        let confirmed = confirmed.filter(|_| self.has_catalog());
         for change in changes {
             let Some(value) = &change.value else {
                 continue;
@@ -229,8 +230,7 @@
             match P::read_operator_row(&change.key, value) {
                 Ok(OperatorRow::Catalog(catalog)) => self.activate(*catalog),
                 Ok(OperatorRow::Weights { model, version }) => {
-                    let found_at = is_first.then_some(change.revision);
-                    self.set_rollout(model, version, found_at);
+                    self.set_rollout(model, version, change.revision, confirmed);
                 }
                 Ok(OperatorRow::Other) => {}
                 Err(reason) => emit!(
@@ -342,7 +342,8 @@
 
     /// Merges the state of another instance, as far as it is newer.
     pub fn import(&self, state: State) {
-        self.apply_operator_changes(&self.mirrors.operator.import(state.operator));
+        let changes = self.mirrors.operator.import(state.operator);
+        self.apply_operator_changes(&changes, None);
         self.apply_endpoint_changes(&self.mirrors.endpoints.import(state.endpoints));
         self.apply_instance_changes(&self.mirrors.instances.import(state.instances));
     }
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -58,7 +58,8 @@
     mirror: &'a Mirror,
     poll_timeout: Duration,
     batch_delay: Duration,
-    /// Called with the changes that were new to the mirror.
+    /// Called with the changes that were new to the mirror, and a time by the table's clock at which
+    /// the rows of operators were complete without them.
     on_change: N,
 }
 
@@ -70,7 +71,7 @@
         mirror: &node.mirrors.operator,
         poll_timeout: OPERATOR_POLL_TIMEOUT,
         batch_delay: OPERATOR_BATCH_DELAY,
-        on_change: |changes: &[Change]| node.apply_operator_changes(changes),
+        on_change: |changes: &[Change], confirmed| node.apply_operator_changes(changes, confirmed),
     };
     let endpoints = Subscription {
         feed: Feed::Endpoints,
@@ -78,7 +79,7 @@
         mirror: &node.mirrors.endpoints,
         poll_timeout: OTHER_POLL_TIMEOUT,
         batch_delay: ENDPOINTS_BATCH_DELAY,
-        on_change: |changes: &[Change]| node.apply_endpoint_changes(changes),
+        on_change: |changes: &[Change], _| node.apply_endpoint_changes(changes),
     };
     let instances = Subscription {
         feed: Feed::Instances,
@@ -86,7 +87,7 @@
         mirror: &node.mirrors.instances,
         poll_timeout: OTHER_POLL_TIMEOUT,
         batch_delay: INSTANCES_BATCH_DELAY,
-        on_change: |changes: &[Change]| node.apply_instance_changes(changes),
+        on_change: |changes: &[Change], _| node.apply_instance_changes(changes),
     };
     tokio::join!(
         follow(&node, &table, operator, |is_available| {
@@ -124,7 +125,7 @@
     );
 }
 
-async fn follow<P: Protocol, W: Watch, N: Fn(&[Change])>(
+async fn follow<P: Protocol, W: Watch, N: Fn(&[Change], Option<Duration>)>(
     node: &Node<P>,
     table: &W,
     subscription: Subscription<'_, N>,
@@ -136,6 +137,8 @@
         if complete {
             wait_until_uncovered(node, subscription.prefix).await;
         }
+        // Read before the mirror may change, so that it does not cover the changes.
+        let confirmed = node.exchange.confirmed();
         let base = subscription.mirror.revision();
         let result = if complete {
             watch(table, &subscription).await
@@ -159,9 +162,12 @@
                 failures = 0;
                 complete = true;
                 if !changes.is_empty() {
-                    (subscription.on_change)(&changes);
+                    (subscription.on_change)(&changes, confirmed);
                 }
                 if matches!(subscription.feed, Feed::Operator) {
+                    if let Some(clock) = clock {
+                        node.exchange.confirm(clock);
+                    }
                     record_first_seen(node, table).await;
                 }
                 if !changes.is_empty() {
--- a/crates/router/src/weights.rs
+++ b/crates/router/src/weights.rs
@@ -50,8 +50,15 @@
     }
 
     /// Sets the version that the engines of `model` should serve, if it is newer than the current
-    /// one. `found_at` is the revision of its row, if the row was there when this instance started.
-    pub fn set_rollout(&self, model: String, version: u64, found_at: Option<u64>) {
+    /// one. `revision` is that of its row; `confirmed` is the last time by the table's clock at which
+    /// the row is known to have been absent, if there is one.
+    pub fn set_rollout(
+        &self,
+        model: String,
+        version: u64,
+        revision: u64,
+        confirmed: Option<Duration>,
+    ) {
         let mut rollouts = Vec::clone(&self.rollouts.load());
         let known = rollouts.iter().position(|rollout| rollout.model == model);
         if known.is_some_and(|index| rollouts[index].version >= version) {
@@ -72,9 +79,11 @@
             rollouts.len() - 1
         });
         rollouts[index].version = version;
-        match found_at {
-            Some(revision) => rollouts[index].versions.add_found(version, revision),
-            None => rollouts[index].versions.add(version, clock::now()),
+        let versions = &mut rollouts[index].versions;
+        match confirmed.and_then(|time| self.exchange.local_time(time)) {
+            // The table's clock may have started again.
+            Some(absent_at) => versions.add(version, absent_at.min(clock::now())),
+            None => versions.add_found(version, revision),
         }
         self.store_rollouts(rollouts);
         self.rollout_wakeup.notify_one();
