Requests that name no model are bound by the term of superseded weights

Cause: the choice of an engine, the check of a planner's answer and the cancellation at the end of the term looked for the versions of the model that the request names, so that a request without one had no term.

They now go by the model of the engine. Endpoints without a model have no weights, as before.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -181,7 +181,7 @@
         let request = call.build_request::<P>(target, &attempt)?;
         let answer = tokio::select! {
             answer = node.pool.send(target, request, options) => answer?,
-            expired = selection.weights_expired(node, call) => return Err(expired),
+            expired = selection.weights_expired(node) => return Err(expired),
         };
         let reply = P::read_reply(&answer.head, &registration.name);
         let failure = |verdict| Failure {
--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -98,7 +98,7 @@
     selection: &Selection,
     answer: Answer,
 ) -> Result<(Parts, Bytes), endpoint::Failure> {
-    let expired = selection.weights_expired(node, call);
+    let expired = selection.weights_expired(node);
     let result = answer.collect_begun(MAX_ANSWER_BYTES, call.time_left(), expired);
     let result = result.await;
     if let Ok((head, _)) = &result {
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -126,8 +126,7 @@
         reasons,
         ..
     } = decision;
-    let model = endpoint.model().and(call.head.model.as_deref());
-    let superseded_at = model.and_then(|model| node.superseded_at(model, endpoint.version()));
+    let superseded_at = node.superseded_at(&endpoint, endpoint.version());
     emit!(
         info,
         event::REQUEST_PLACED,
@@ -174,24 +173,22 @@
     pub fn weights_expired<'a, P: Protocol>(
         &self,
         node: &'a Node<P>,
-        call: &'a Call,
     ) -> impl Future<Output = Failure> + use<'a, P> {
-        let model = call.head.model.as_deref().filter(|_| self.version > 0);
         let version = self.version;
-        let address = self.endpoint.registration.address;
+        let endpoint = self.endpoint.clone();
         let term = node.config.bounds.weights;
         async move {
             loop {
                 // A version may turn out to be older than this instance knew at first.
                 let changed = node.rollouts_changed.notified();
                 let now = clock::now();
-                let superseded_at = model.and_then(|model| node.superseded_at(model, version));
+                let superseded_at = node.superseded_at(&endpoint, version);
                 // The weights may be superseded at any moment from now on.
                 let begin_by = weights::begin_by(superseded_at.unwrap_or(now), term);
                 let wait = begin_by.saturating_sub(now);
                 if superseded_at.is_some() && wait.is_zero() {
                     return Failure {
-                        address,
+                        address: endpoint.registration.address,
                         verdict: Verdict::MayHaveRun,
                         fault: Fault::WeightsExpired,
                     };
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -48,8 +48,7 @@
     message::Reasons,
     node::Node,
     protocol::Protocol,
-    request::Call,
-    weights::Rollout, //
+    request::Call, //
 };
 
 /// Delay penalty for an answer on old weights, as a fraction of the objective: users value such
@@ -259,9 +258,8 @@
     now: Millis,
 ) -> Vec<EligibleEndpoint> {
     let fleet = node.endpoints.fleet();
-    let rollout = query.model.and_then(|model| node.rollout(model));
     let endpoints = fleet.of_service(query.service).iter();
-    let check = |endpoint| check_eligible(node, query, rollout.as_ref(), endpoint, now);
+    let check = |endpoint| check_eligible(node, query, endpoint, now);
     endpoints.filter_map(check).collect()
 }
 
@@ -269,7 +267,6 @@
 pub fn check_eligible<P: Protocol>(
     node: &Node<P>,
     query: &Query<'_>,
-    rollout: Option<&Rollout>,
     endpoint: &Arc<Endpoint>,
     now: Millis,
 ) -> Option<EligibleEndpoint> {
@@ -279,9 +276,7 @@
     if !serves || registration.leaving || query.tried.contains(&registration.name) {
         return None;
     }
-    // Endpoints without a model have no weights, also if the request names a model.
-    let rollout = rollout.filter(|_| served.is_some());
-    let superseded_at = rollout.and_then(|r| r.versions.superseded_at(endpoint.version()));
+    let superseded_at = node.superseded_at(endpoint, endpoint.version());
     if superseded_at.is_some_and(|at| !may_use_superseded(node, query, at)) {
         return None;
     }
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -355,10 +355,8 @@
     let fleet = node.endpoints.fleet();
     let mut endpoints = fleet.of_service(query.service).iter();
     let endpoint = endpoints.find(|e| e.registration.name == name);
-    let rollout = query.model.and_then(|model| node.rollout(model));
     let now = node.beliefs.now();
-    let checked =
-        endpoint.and_then(|e| decide::check_eligible(node, query, rollout.as_ref(), e, now));
+    let checked = endpoint.and_then(|e| decide::check_eligible(node, query, e, now));
     let Some(eligible) = checked.filter(|eligible| !eligible.endpoint.is_loading()) else {
         return Placement::Unplanned;
     };
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -206,7 +206,7 @@
         call: &Call,
         last_event: &mut Option<u64>,
     ) -> Result<Option<Bytes>, Failure> {
-        let expired = self.selection.weights_expired(node, call);
+        let expired = self.selection.weights_expired(node);
         tokio::select! {
             first = self.next(last_event, call.deadline) => first,
             expired = expired => Err(expired),
--- a/crates/router/src/weights.rs
+++ b/crates/router/src/weights.rs
@@ -15,6 +15,7 @@
 use crate::{
     FIRST_SEEN,
     INSTANCES,
+    fleet::Endpoint,
     instance,
     node::Node,
     protocol::Protocol, //
@@ -32,18 +33,10 @@
 }
 
 impl<P: Protocol> Node<P> {
-    /// Rollout of the weights of `model`; `None` if no operator has named a version.
-    pub fn rollout(&self, model: &str) -> Option<Rollout> {
-        let rollouts = self.rollouts.load();
-        rollouts
-            .iter()
-            .find(|rollout| rollout.model == model)
-            .cloned()
-    }
-
-    /// When a version of the weights of `model` was superseded, as far as this instance knows; `None`
-    /// if it is the newest.
-    pub fn superseded_at(&self, model: &str, version: u64) -> Option<Duration> {
+    /// When a version of the weights of an endpoint was superseded, as far as this instance knows;
+    /// `None` if it is the newest, or if the endpoint has no weights.
+    pub fn superseded_at(&self, endpoint: &Endpoint, version: u64) -> Option<Duration> {
+        let model = &**endpoint.model()?;
         let rollouts = self.rollouts.load();
         let rollout = rollouts.iter().find(|rollout| rollout.model == model)?;
         rollout.versions.superseded_at(version)
