--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -7,6 +7,7 @@
 //! connection.
 
 mod fetch;
+mod send;
 mod time;
 
 use std::{
@@ -56,6 +57,13 @@
     quarantine,
     quota, //
 };
+pub use send::{
+    send,
+    send_all,
+    send_to_hubs,
+    try_send, //
+};
+
 use fetch::{
     apply_delta,
     fetch,
@@ -318,16 +326,6 @@
     answer.await.ok()
 }
 
-/// Sends a message without waiting; drops it if the send buffer of the socket is full.
-pub fn try_send(socket: &UdpSocket, message: &Message, to: SocketAddr) {
-    let Some(bytes) = message.encode() else {
-        return;
-    };
-    if let Err(error) = socket.try_send_to(&bytes, to) {
-        emit!(debug, event::PEER_FAULT, peer = %to, reason = %error);
-    }
-}
-
 fn duration_from_millis(value: u32) -> Duration {
     Duration::from_millis(u64::from(value))
 }
@@ -469,39 +467,6 @@
     send_all(node, &push).await;
 }
 
-/// Sends a message to the hubs, except to this instance.
-pub async fn send_to_hubs<P: Protocol>(node: &Node<P>, message: &Message) {
-    let (_, hubs) = pick_hubs(node, &node.members.live(clock::now()));
-    for hub in hubs {
-        if hub != node.config.listen.exchange {
-            send(node, message, hub).await;
-        }
-    }
-}
-
-/// Sends a message to all other instances.
-pub async fn send_all<P: Protocol>(node: &Node<P>, message: &Message) {
-    let Some(bytes) = message.encode() else {
-        return;
-    };
-    for member in node.members.others(&node.config.name, clock::now()) {
-        send_bytes(node, &bytes, member.row.exchange).await;
-    }
-}
-
-/// Sends a message to another instance; drops it if it is too large.
-pub async fn send<P: Protocol>(node: &Node<P>, message: &Message, to: SocketAddr) {
-    if let Some(bytes) = message.encode() {
-        send_bytes(node, &bytes, to).await;
-    }
-}
-
-async fn send_bytes<P: Protocol>(node: &Node<P>, bytes: &[u8], to: SocketAddr) {
-    if let Err(error) = node.exchange.socket.send_to(bytes, to).await {
-        emit!(debug, event::PEER_FAULT, peer = %to, reason = %error);
-    }
-}
-
 /// Converts a duration to whole milliseconds, capped at the maximum of the type.
 pub fn whole_millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
