--- a/crates/router/src/quarantine/detect.rs
+++ b/crates/router/src/quarantine/detect.rs
@@ -17,6 +17,10 @@
     event, //
 };
 use tokio::net::TcpStream;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use super::Source;
 use crate::{
@@ -95,9 +99,7 @@
             if known.segments.len() > MAX_SENT_SEGMENTS {
                 // Which are dropped differs between crashes, so that none is always dropped.
                 let at = now.as_nanos() as u64;
-                let rank = |segment: &u64| {
-                    xxhash_rust::xxh3::xxh3_64_with_seed(&segment.to_le_bytes(), at)
-                };
+                let rank = |segment: &u64| xxh3_64_with_seed(&segment.to_le_bytes(), at);
                 known.segments.sort_unstable_by_key(rank);
                 known.segments.truncate(MAX_SENT_SEGMENTS);
             }
@@ -122,7 +124,7 @@
 
 /// Hash under which instances tell each other of an endpoint.
 fn endpoint_hash(endpoint: &Endpoint) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(endpoint.registration.name.as_bytes())
+    xxh3_64(endpoint.registration.name.as_bytes())
 }
 
 /// Evaluates the evidence until the task is aborted.
