--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -68,8 +68,7 @@
     request: Request<Incoming>,
 ) -> Result<Admission, Refusal> {
     let arrived = Instant::now();
-    let catalog = node.catalog.load_full();
-    let Some(catalog) = catalog.filter(|_| node.knows_state()) else {
+    let Some(catalog) = node.catalog.load_full() else {
         let message = "no configuration is known yet; come back or use another instance";
         return Err(Refusal::not_run(Reason::NotReady, message).retry_after(NOT_READY_RETRY_DELAY));
     };
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -87,6 +87,8 @@
 pub struct Node<P> {
     /// Settings of this instance.
     pub config: Config,
+    /// Time of the start.
+    started_at: Duration,
     /// Chosen at random at each start, so that incarnations of the instance differ.
     pub incarnation: u64,
     /// Copies of the table's rows.
@@ -139,6 +141,9 @@
     protocol: PhantomData<P>,
 }
 
+/// Time after the start in which the rows of quarantined segments are waited for.
+const QUARANTINE_READ_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Value of the hub rank of an instance that is not a hub.
 const NO_HUB: usize = usize::MAX;
 
@@ -150,6 +155,7 @@
     /// If the datagram socket cannot be bound or the metrics cannot be registered.
     pub fn new(config: Config) -> anyhow::Result<Self> {
         Ok(Self {
+            started_at: clock::now(),
             incarnation: rand::random(),
             mirrors: Mirrors::default(),
             catalog: ArcSwapOption::empty(),
@@ -207,15 +213,16 @@
         self.catalog.load().is_some()
     }
 
-    /// Whether the state is known without which no request may be served: the configuration, and
-    /// the instances' rows, since some segments may be quarantined.
-    pub fn knows_state(&self) -> bool {
-        self.has_catalog() && self.mirrors.instances.revision() > 0
+    /// Whether the rows of quarantined segments were read, or have had their time since the start:
+    /// a table that does not answer must not keep an instance from serving.
+    pub fn knows_quarantine(&self) -> bool {
+        self.mirrors.instances.revision() > 0
+            || clock::now() > self.started_at + QUARANTINE_READ_TIMEOUT
     }
 
     /// Whether the instance accepts requests.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.knows_state()
+        !self.is_stopping() && self.has_catalog()
     }
 
     /// Applies changed rows of operators; `confirmed` is a time by the table's clock at which the
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -65,6 +65,8 @@
 const MAX_RECORDS: usize = 256;
 /// Timeout of the claim of a trial, which delays the request.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay after which a caller is told to return while the quarantined segments are unknown.
+const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest delay after which a refused caller is told to return.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(10);
 /// Delay after which a caller is told to return while another request is the trial.
@@ -315,10 +317,14 @@
 pub async fn check<P: Protocol>(node: &Node<P>, call: &Call) -> Result<Option<Trial>, Refusal> {
     let table = &node.quarantine;
     let entries = table.entries.load();
-    if entries.is_empty() {
+    if entries.is_empty() && node.knows_quarantine() {
         return Ok(None);
     }
     let segments: Vec<u64> = call.shared_segments().collect();
+    if !segments.is_empty() && !node.knows_quarantine() {
+        let message = "the quarantined segments are not known yet; come back";
+        return Err(Refusal::not_run(Reason::NotReady, message).retry_after(UNKNOWN_RETRY_DELAY));
+    }
     let retry_after = match quarantine::check(&entries, &segments, clock::now()) {
         Admission::Admit => return Ok(None),
         Admission::Try(tried) => {
