A stream goes on only at the build that began it

Cause: an endpoint's row was decoded without its version, a caller's take-up was placed like a new request, and so was an instance's own resume within one answer. What a take-up names, the request that brought the first event, was not read.

Now each stream has an origin, its service and build. The instance that relays it records it and tells the hubs; while a service has several builds, or had within the horizon, a hub writes the records to the table (damask/origin), and the builds of each service are a row of their own (damask/builds), so that an instance that has lost its memory knows which may have begun a stream. A new build is used once that row names it. A take-up of which nothing is known is refused as not run while several builds may have begun it.

Still red: an endpoint that starts again under its name with another build, at an instance that sees neither the table nor a hub.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod baseline;
 pub mod belief;
 pub mod breaker;
+pub mod build;
 pub mod cell;
 pub mod choice;
 pub mod delay;
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -90,6 +90,7 @@
         deadline,
         catalog,
         route,
+        origin: None,
         workspace,
     };
     let charge = charge(node, &call).await?;
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -164,7 +164,7 @@
             time_left,
             workspace: call.workspace.as_ref().map(|w| &*w.name),
             engine: (selection.version > 0).then(|| EngineOptions {
-                cache_salt: call.cache_salt(selection.version),
+                cache_salt: call.cache_salt(selection.version, &registration.build),
                 version: selection.version,
                 priority: call.priority(),
                 fetch_from: selection.source,
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -203,6 +203,11 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// All routes, sorted by host, then by prefix.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.iter()
+    }
+
     /// The workspace to which a key belongs.
     pub fn workspace(&self, key: &Digest) -> Option<&Arc<Workspace>> {
         let index = self.keys.binary_search_by_key(key, |entry| entry.0).ok()?;
@@ -230,6 +235,11 @@
 }
 
 impl Route {
+    /// Whether callers may take up its streams.
+    pub fn is_resumable(&self) -> bool {
+        self.streams && self.repeat == Repeat::Allowed
+    }
+
     /// Picks a service by weight; `random` may be any number.
     pub fn service(&self, random: u64) -> &Arc<str> {
         let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -323,13 +323,15 @@
     }
 }
 
-/// Whether another engine can serve the endpoint's model with weights newer than `version`.
+/// Whether another engine of the same build can serve the endpoint's model with weights newer than
+/// `version`.
 fn is_served_elsewhere<P: Protocol>(node: &Node<P>, endpoint: &Endpoint, version: u64) -> bool {
     let now = node.beliefs.now();
     let fleet = node.endpoints.fleet();
     let others = fleet.of_service(&endpoint.registration.service).iter();
     let mut newer = others.filter(|other| {
         other.model() == endpoint.model()
+            && other.registration.build == endpoint.registration.build
             && other.version() > version
             && !other.registration.leaving
             && !other.is_loading()
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -88,6 +88,8 @@
     pub chain: &'a Chain,
     /// Endpoints that were already tried for the request.
     pub tried: &'a [Arc<str>],
+    /// The only build that can serve the request, if it continues a stream.
+    pub build: Option<&'a str>,
 }
 
 /// Instances whose requests the decision accounts for.
@@ -141,9 +143,15 @@
             objective: call.route.objective,
             chain,
             tried,
+            build: call.origin.as_ref().map(|origin| &*origin.build),
         }
     }
 
+    /// Whether an endpoint of this build can serve the request.
+    pub fn allows_build(&self, build: &str) -> bool {
+        self.build.is_none_or(|required| required == build)
+    }
+
     /// Whether the request is of the most urgent class.
     pub fn is_urgent(&self) -> bool {
         self.class == Class::Urgent
@@ -166,6 +174,13 @@
     if eligible.iter().any(|e| !e.endpoint.is_loading()) {
         eligible.retain(|e| !e.endpoint.is_loading());
     }
+    let is_recorded = |e: &EligibleEndpoint| {
+        let registration = &e.endpoint.registration;
+        node.builds.is_recorded(query.service, &registration.build)
+    };
+    if eligible.iter().any(is_recorded) {
+        eligible.retain(is_recorded);
+    }
     if scope == Scope::AllInstances {
         restrict_to_cell(node, query, &mut eligible);
     }
@@ -217,8 +232,11 @@
         Some(Source::Endpoint(index)) => Some(&eligible[index].endpoint),
         _ => None,
     };
-    // Blocks computed with another weights version cannot be used.
-    let other_engine = other_engine.filter(|other| other.version() == endpoint.version());
+    // Blocks computed with another weights version or by another build cannot be used.
+    let other_engine = other_engine.filter(|other| {
+        other.version() == endpoint.version()
+            && other.registration.build == endpoint.registration.build
+    });
     let other_engine = other_engine.map(|other| other.registration.address);
     let source = match choice.source {
         Some(Source::Store) => prefix_store::plan_fetch(node, query, endpoint, choice.source_hits),
@@ -278,7 +296,11 @@
     let registration = &endpoint.registration;
     let served = endpoint.model().map(|served| &**served);
     let serves = served.is_none() || query.model.is_none() || served == query.model;
-    if !serves || registration.leaving || query.tried.contains(&registration.name) {
+    if !serves
+        || registration.leaving
+        || query.tried.contains(&registration.name)
+        || !query.allows_build(&registration.build)
+    {
         return None;
     }
     let superseded_at = node.superseded_at(endpoint, endpoint.version());
@@ -306,7 +328,10 @@
     let now = node.beliefs.now();
     let fleet = node.endpoints.fleet();
     let staying = fleet.of_service(query.service).iter();
-    let staying = staying.filter(|endpoint| !endpoint.registration.leaving);
+    let staying = staying.filter(|endpoint| {
+        let registration = &endpoint.registration;
+        !registration.leaving && query.allows_build(&registration.build)
+    });
     let pauses = staying.map(|e| node.estimate_of(e).pause(query.is_urgent(), now));
     pauses.filter(|pause| !pause.is_zero()).min()
 }
@@ -410,25 +435,26 @@
     })
 }
 
-/// Expected hit in the prefix store near an endpoint, computed once per store and weights version.
+/// Expected hit in the prefix store near an endpoint, computed once per store, weights version and
+/// build.
 fn store_hit<P: Protocol>(
     node: &Node<P>,
     query: &Query<'_>,
     endpoint: &Endpoint,
-    store_hits: &mut Vec<(Arc<str>, u64, prefix_store::Hit)>,
+    store_hits: &mut Vec<(Arc<str>, u64, Arc<str>, prefix_store::Hit)>,
 ) -> prefix_store::Hit {
     if query.chain.levels.is_empty() {
         return prefix_store::Hit::default();
     }
-    let domain = &endpoint.registration.domain;
+    let (domain, build) = (&endpoint.registration.domain, &endpoint.registration.build);
     let version = endpoint.version();
     let cached = store_hits
         .iter()
-        .find(|(d, v, _)| d == domain && *v == version);
+        .find(|(d, v, b, _)| d == domain && *v == version && b == build);
     if let Some((.., hit)) = cached {
         return *hit;
     }
-    let hit = prefix_store::estimate_hit(node, query, domain, version);
-    store_hits.push((domain.clone(), version, hit));
+    let hit = prefix_store::estimate_hit(node, query, endpoint);
+    store_hits.push((domain.clone(), version, build.clone(), hit));
     hit
 }
--- a/crates/router/src/choose/prefix_store.rs
+++ b/crates/router/src/choose/prefix_store.rs
@@ -19,7 +19,10 @@
     save, //
 };
 use state::health;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use super::decide::Query;
 use crate::{
@@ -98,8 +101,9 @@
     }
 }
 
-/// Expected hit in the store near `domain`, for weights of `version`.
-pub fn estimate_hit<P>(node: &Node<P>, query: &Query<'_>, domain: &str, version: u64) -> Hit {
+/// Expected hit in the store near `endpoint`.
+pub fn estimate_hit<P>(node: &Node<P>, query: &Query<'_>, endpoint: &Endpoint) -> Hit {
+    let domain = &endpoint.registration.domain;
     let Some(store) = Store::for_domain(node, query, domain) else {
         return Hit::default();
     };
@@ -111,7 +115,7 @@
         .eviction_age(now, store.config.cache_tokens as f32);
     let blocks = node.beliefs.read(|beliefs| {
         let is_stored = |level: &&Level| {
-            let mut holders = beliefs.holders(versioned_level(level.hash, version), now);
+            let mut holders = beliefs.holders(stored_level(level.hash, endpoint), now);
             holders.any(|b| b.holder == view.holder && survival(b.age, eviction_age) > MIN_SURVIVAL)
         };
         let stored = query.chain.levels.iter().take_while(is_stored);
@@ -191,12 +195,14 @@
     let levels = &query.chain.levels;
     let levels = levels[..cached_levels(levels, blocks)].iter();
     let levels: Vec<u64> = levels
-        .map(|level| versioned_level(level.hash, endpoint.version()))
+        .map(|level| stored_level(level.hash, endpoint))
         .collect();
     node.beliefs.raise(&levels, holder);
 }
 
-/// Key of a stored level: levels are independent of the weights version, but stored blocks are not.
-fn versioned_level(level: u64, version: u64) -> u64 {
-    xxh3_64_with_seed(&level.to_le_bytes(), version)
+/// Key of a level as `endpoint` stores it: levels are independent of weights version and build, but
+/// stored blocks are not.
+fn stored_level(level: u64, endpoint: &Endpoint) -> u64 {
+    let build = xxh3_64(endpoint.registration.build.as_bytes());
+    xxh3_64_with_seed(&(level ^ build).to_le_bytes(), endpoint.version())
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -34,6 +34,7 @@
         Service, //
     },
     node::Node,
+    origin,
     peer,
     plane,
     protocol::Protocol,
@@ -119,6 +120,7 @@
         tokio::spawn(peer::bootstrap(node.clone()));
         tokio::spawn(rollout::run(node.clone(), table.clone()));
         tokio::spawn(quarantine::run(node.clone(), table.clone()));
+        tokio::spawn(origin::run(node.clone(), table.clone()));
         emit!(info, event::STARTED, instance = node.config.name);
         Ok(Self {
             node,
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -7,7 +7,9 @@
 //! connection.
 
 mod fetch;
+mod freshness;
 mod outage;
+mod query;
 mod send;
 mod time;
 
@@ -54,6 +56,7 @@
         Push, //
     },
     node::Node,
+    origin,
     planner,
     protocol::Protocol,
     quarantine,
@@ -63,6 +66,10 @@
     judge_outage,
     record_table_answer, //
 };
+pub use query::{
+    other_hubs,
+    query, //
+};
 pub use send::{
     send,
     send_all,
@@ -171,27 +178,6 @@
         })
     }
 
-    /// Whether a hub with a fresh view of the table forwards changes and this instance keeps up.
-    pub fn has_fresh_hub(&self, now: Duration) -> bool {
-        let state = self.state.lock();
-        let is_stale = |since| now.saturating_sub(since) > MAX_LAG;
-        if state.lagging_since.is_some_and(is_stale) {
-            return false;
-        }
-        let observations = state.hubs.iter().map(|hub| hub.observation(now));
-        hub::is_any_fresh(&observations.collect::<Vec<_>>())
-    }
-
-    /// Whether a hub has sent a digest within the last few digest intervals, however old its view
-    /// of the table is.
-    pub fn hears_hub(&self, now: Duration) -> bool {
-        let state = self.state.lock();
-        state
-            .hubs
-            .iter()
-            .any(|hub| now.saturating_sub(hub.received_at) <= MAX_LAG)
-    }
-
     /// Records a digest of a hub with its reading of the table's clock, and drops old ones.
     fn record_hub(&self, digest: &Digest, clock: Option<Duration>, now: Duration) {
         let mut state = self.state.lock();
@@ -301,7 +287,14 @@
         }
         Message::Grant(ref grant) => node.exchange.answer(grant.id, message),
         Message::PlacementRequest(request) => {
-            if let Some(response) = planner::handle_placement_request(node, &request) {
+            if let Some(response) = planner::handle_placement_request(node, &request, None) {
+                send(node, &Message::PlacementResponse(response), from).await;
+            }
+        }
+        Message::ResumptionRequest(request) => {
+            let build = Some(&*request.build);
+            let response = planner::handle_placement_request(node, &request.placement, build);
+            if let Some(response) = response {
                 send(node, &Message::PlacementResponse(response), from).await;
             }
         }
@@ -311,51 +304,18 @@
             send(node, &Message::LimitGrant(grant), from).await;
         }
         Message::LimitGrant(ref grant) => node.exchange.answer(grant.id, message),
+        Message::Origins(origins) => origin::handle_origins(node, origins),
+        Message::OriginRequest(request) => {
+            let response = origin::handle_request(node, &request);
+            send(node, &Message::OriginResponse(response), from).await;
+        }
+        Message::OriginResponse(ref response) => node.exchange.answer(response.id, message),
         Message::Outcome(outcome) => planner::handle_outcome(node, &outcome),
         Message::Evidence(evidence) => quarantine::handle_evidence(node, &evidence),
         Message::Suspects(suspects) => quarantine::handle_suspects(node, &suspects, from).await,
     }
 }
 
-impl Exchange {
-    /// Passes an answer to the query with this id, if it is still pending.
-    fn answer(&self, query_id: u32, message: Message) {
-        let mut state = self.state.lock();
-        let position = state.pending.iter().position(|(id, _)| *id == query_id);
-        let Some(index) = position else {
-            return;
-        };
-        let (_, sender) = state.pending.swap_remove(index);
-        drop(state);
-        // Fails if the query has timed out.
-        sender.send(message).ok();
-    }
-
-    /// Creates a pending query; returns its id and the receiver of its answer.
-    fn register(&self) -> (u32, oneshot::Receiver<Message>) {
-        let (sender, receiver) = oneshot::channel();
-        let mut state = self.state.lock();
-        state.pending.retain(|(_, sender)| !sender.is_closed());
-        state.last_id = state.last_id.wrapping_add(1);
-        let id = state.last_id;
-        state.pending.push((id, sender));
-        (id, receiver)
-    }
-}
-
-/// Sends a query to another instance and waits for the answer, without a timeout.
-///
-/// `query` builds the message from the id that the answer will carry.
-pub async fn query<P: Protocol>(
-    node: &Node<P>,
-    to: SocketAddr,
-    query: impl FnOnce(u32) -> Message,
-) -> Option<Message> {
-    let (id, answer) = node.exchange.register();
-    send(node, &query(id), to).await;
-    answer.await.ok()
-}
-
 fn handle_digest<P: Protocol>(
     node: &Arc<Node<P>>,
     digest: &Digest,
--- /dev/null
+++ b/crates/router/src/exchange/freshness.rs
@@ -0,0 +1,53 @@
+//! Whether this instance sees the table, itself or through hubs.
+
+use std::time::Duration;
+
+use policy::hub::{
+    self,
+    Observation, //
+};
+
+use super::{
+    Exchange,
+    MAX_LAG, //
+};
+
+impl Exchange {
+    /// Whether a hub with a fresh view of the table forwards changes and this instance keeps up.
+    pub fn has_fresh_hub(&self, now: Duration) -> bool {
+        let state = self.state.lock();
+        let is_stale = |since| now.saturating_sub(since) > MAX_LAG;
+        if state.lagging_since.is_some_and(is_stale) {
+            return false;
+        }
+        let observations = state.hubs.iter().map(|hub| hub.observation(now));
+        hub::is_any_fresh(&observations.collect::<Vec<_>>())
+    }
+
+    /// Whether a hub has sent a digest within the last few digest intervals, however old its view
+    /// of the table is.
+    pub fn hears_hub(&self, now: Duration) -> bool {
+        let state = self.state.lock();
+        state
+            .hubs
+            .iter()
+            .any(|hub| now.saturating_sub(hub.received_at) <= MAX_LAG)
+    }
+
+    /// Whether this instance sees the table, itself or through a hub.
+    pub fn is_in_touch(&self, now: Duration) -> bool {
+        self.sees_table(now) || self.has_fresh_hub(now)
+    }
+
+    /// Whether this instance sees the table itself.
+    pub(super) fn sees_table(&self, now: Duration) -> bool {
+        let view_age = self.state.lock().view_age(now);
+        view_age.is_some_and(|view_age| {
+            let own = Observation {
+                age: Duration::ZERO,
+                view_age,
+            };
+            own.is_fresh()
+        })
+    }
+}
--- a/crates/router/src/exchange/outage.rs
+++ b/crates/router/src/exchange/outage.rs
@@ -47,18 +47,6 @@
             .map(|hub| hub.received_at.saturating_sub(hub.view_age));
         times.max().unwrap_or_default()
     }
-
-    /// Whether this instance sees the table itself.
-    fn sees_table(&self, now: Duration) -> bool {
-        let view_age = self.state.lock().view_age(now);
-        view_age.is_some_and(|view_age| {
-            let own = Observation {
-                age: Duration::ZERO,
-                view_age,
-            };
-            own.is_fresh()
-        })
-    }
 }
 
 /// Records that the table gave this instance an answer at `now`.
--- a/crates/router/src/exchange/send.rs
+++ b/crates/router/src/exchange/send.rs
@@ -9,7 +9,7 @@
 };
 use tokio::net::UdpSocket;
 
-use super::pick_hubs;
+use super::other_hubs;
 use crate::{
     message::Message,
     node::Node,
@@ -28,11 +28,8 @@
 
 /// Sends a message to the hubs, except to this instance.
 pub async fn send_to_hubs<P: Protocol>(node: &Node<P>, message: &Message) {
-    let (_, hubs) = pick_hubs(node, &node.members.live(clock::now()));
-    for hub in hubs {
-        if hub != node.config.listen.exchange {
-            send(node, message, hub).await;
-        }
+    for hub in other_hubs(node) {
+        send(node, message, hub).await;
     }
 }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -29,6 +29,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: Arc<str>,
+    /// Version of its software; empty if it names none.
+    pub build: Arc<str>,
     /// Number of requests that it runs at once.
     pub slots: u32,
     /// Whether it is about to stop.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admit;
 pub mod attempt;
 pub mod buffered;
+pub mod builds;
 pub mod catalog;
 pub mod choose;
 pub mod config;
@@ -26,6 +27,7 @@
 pub mod mirror;
 pub mod node;
 pub mod observed;
+pub mod origin;
 pub mod peer;
 pub mod plane;
 pub mod planner;
@@ -51,5 +53,10 @@
 pub const FIRST_SEEN: &str = "damask/named/";
 /// Prefix of the rows of quarantined segments; the key continues with the segment's id.
 pub const QUARANTINE: &str = "damask/quarantine/";
+/// Prefix of the rows with the builds of each service.
+pub const BUILDS: &str = "damask/builds/";
+/// Prefix of the rows that record which build began each stream. The key continues with the time by the
+/// table's clock.
+pub const ORIGINS: &str = "damask/origin/";
 /// Key of the row of the lease that permits orders to engines.
 pub const LEASE: &str = "damask/lease";
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -57,6 +57,78 @@
     LimitRequest(LimitRequest),
     /// The response to a [`LimitRequest`].
     LimitGrant(LimitGrant),
+    /// From an instance to hubs: what began its streams.
+    Origins(Origins),
+    /// From an instance to hubs: what began a stream that a caller takes up?
+    OriginRequest(OriginRequest),
+    /// The hub's response to an [`OriginRequest`].
+    OriginResponse(OriginResponse),
+    /// Like [`Message::PlacementRequest`], for a stream that goes on at the build that began it.
+    ResumptionRequest(ResumptionRequest),
+}
+
+/// What began streams.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Origins {
+    /// The streams, grouped by what began them.
+    pub groups: Vec<OriginGroup>,
+}
+
+/// Streams that the same build of a service began.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct OriginGroup {
+    /// Name of the service.
+    pub service: String,
+    /// The build.
+    pub build: String,
+    /// Hashes of the ids of the requests that brought the first events.
+    pub streams: Vec<u64>,
+}
+
+/// Asks a hub what began a stream.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct OriginRequest {
+    /// Correlation id, repeated in the response.
+    pub id: u32,
+    /// The stream, as in [`OriginGroup::streams`], if the caller has named it.
+    pub stream: Option<u64>,
+    /// The service that began it, if no other may have.
+    pub service: Option<String>,
+}
+
+/// The response to an [`OriginRequest`].
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct OriginResponse {
+    /// Correlation id of the [`OriginRequest`].
+    pub id: u32,
+    /// What the hub knows.
+    pub answer: OriginAnswer,
+}
+
+/// What a hub knows of the begin of a stream.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum OriginAnswer {
+    /// The service and build that began it.
+    Recorded(String, String),
+    /// There is no record, but this is the only build that may have begun it.
+    Sole(String),
+    /// There is no record, and several builds may have begun it.
+    Unknown,
+}
+
+/// Asks the planner of a service for the endpoint of a stream that goes on.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ResumptionRequest {
+    /// The request.
+    pub placement: PlacementRequest,
+    /// The build that began the stream.
+    pub build: String,
 }
 
 /// Asks for one request to an endpoint that has stated a limit.
--- a/crates/router/src/mirror.rs
+++ b/crates/router/src/mirror.rs
@@ -96,6 +96,15 @@
         self.snapshot.lock().revision
     }
 
+    /// Keys of the rows with this prefix, sorted.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let snapshot = self.snapshot.lock();
+        let first = snapshot.rows.partition_point(|row| *row.key < *prefix);
+        let rows = snapshot.rows[first..].iter();
+        let rows = rows.take_while(|row| row.key.starts_with(prefix));
+        rows.map(|row| row.key.clone()).collect()
+    }
+
     /// Replication position.
     pub fn position(&self) -> Position {
         let snapshot = self.snapshot.lock();
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -50,6 +50,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    builds,
     catalog::Catalog,
     config::Config,
     endpoints::Endpoints,
@@ -70,6 +71,7 @@
         State, //
     },
     observed,
+    origin,
     peer,
     planner,
     protocol::{
@@ -147,6 +149,10 @@
     pub quarantine: Arc<quarantine::Table>,
     /// Placement of model requests, by this or another instance.
     pub planner: planner::State,
+    /// Builds of the endpoints of each service.
+    pub builds: builds::Table,
+    /// Which service and build began each stream.
+    pub origins: origin::Table,
     /// The lease that permits orders to engines.
     pub lease: Lease,
     /// The lease's row as last received.
@@ -206,6 +212,8 @@
             limits: limit::Table::default(),
             quarantine: Arc::default(),
             planner: planner::State::default(),
+            builds: builds::Table::default(),
+            origins: origin::Table::default(),
             lease: Lease::default(),
             lease_row: Mutex::default(),
             longest_request: rollout::LongestRequest::default(),
@@ -357,6 +365,7 @@
         exchange::judge_outage(self, now);
         self.endpoints.apply::<P>(changes, now);
         self.rollout_wakeup.notify_one();
+        self.builds.changed.notify_one();
     }
 
     /// Records what an endpoint has stated about itself in the answer to a request that was sent at
@@ -410,6 +419,8 @@
             }
             rollout::apply_progress(self, change);
             quarantine::apply_row(self, change);
+            builds::apply_row(self, change);
+            origin::apply_row(self, change);
             self.apply_instance_row(change);
         }
         quarantine::restore_rows(self);
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -58,7 +58,8 @@
         Outcome,
         PlacementRequest,
         PlacementResponse,
-        Reasons, //
+        Reasons,
+        ResumptionRequest, //
     },
     node::Node,
     protocol::Protocol, //
@@ -286,8 +287,16 @@
     }
     let pace = node.planner.queues.learned_pace(query.service);
     let excluded = excluded_here(node, query);
-    let request = |id| placement_request(query, &excluded, id, must_place, pace);
-    let message = |id| Message::PlacementRequest(request(id));
+    let message = |id| {
+        let placement = placement_request(query, &excluded, id, must_place, pace);
+        match query.build {
+            None => Message::PlacementRequest(placement),
+            Some(build) => Message::ResumptionRequest(ResumptionRequest {
+                placement,
+                build: build.to_owned(),
+            }),
+        }
+    };
     let answer = exchange::query(node, planner, message);
     if let Ok(Some(Message::PlacementResponse(response))) =
         tokio::time::timeout(ANSWER_TIMEOUT, answer).await
@@ -397,10 +406,12 @@
     Placement::Endpoint(decision, ticket)
 }
 
-/// Handles another instance's placement request.
+/// Handles another instance's placement request; that of a stream that goes on names the `build` that
+/// began it.
 pub fn handle_placement_request<P: Protocol>(
     node: &Node<P>,
     request: &PlacementRequest,
+    build: Option<&str>,
 ) -> Option<PlacementResponse> {
     let catalog = node.catalog.load_full()?;
     let service = catalog.service(&request.service)?;
@@ -424,6 +435,7 @@
         objective: Duration::from_millis(u64::from(request.objective_ms)),
         chain: &chain,
         tried: &tried,
+        build,
     };
     let response_to = |to| PlacementResponse {
         id: request.id,
--- a/crates/router/src/protocol.rs
+++ b/crates/router/src/protocol.rs
@@ -67,6 +67,8 @@
     pub timeout: Option<Duration>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the stream's first event, if it resumes a stream.
+    pub resumes: Option<HeaderValue>,
     /// Name of the requested model.
     pub model: Option<String>,
     /// Size of the request, if it is a model request.
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -50,6 +50,9 @@
     Overloaded,
     /// The deadline of the request has passed.
     DeadlineExceeded,
+    /// It is not known which build began the stream that the request resumes, or its route no longer
+    /// leads to the service.
+    OriginUnknown,
     /// A segment of the prompt crashes engines.
     SegmentQuarantined,
     /// The request crashes endpoints.
@@ -72,6 +75,7 @@
             Reason::NoEndpoint => "no_endpoint",
             Reason::Overloaded => "overloaded",
             Reason::DeadlineExceeded => "deadline_exceeded",
+            Reason::OriginUnknown => "origin_unknown",
             Reason::SegmentQuarantined => "segment_quarantined",
             Reason::RequestQuarantined => "request_quarantined",
             Reason::EndpointFailed => "endpoint_failed",
@@ -140,6 +144,7 @@
             | Reason::NoEndpoint
             | Reason::Overloaded
             | Reason::DeadlineExceeded
+            | Reason::OriginUnknown
             | Reason::SegmentQuarantined
             | Reason::RequestQuarantined
                 if not_run =>
@@ -150,6 +155,7 @@
             Reason::NotReady
             | Reason::NoEndpoint
             | Reason::Overloaded
+            | Reason::OriginUnknown
             | Reason::SegmentQuarantined
             | Reason::RequestQuarantined
             | Reason::EndpointFailed => StatusCode::BAD_GATEWAY,
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -37,6 +37,7 @@
         Route,
         Workspace, //
     },
+    origin::Origin,
     protocol::{
         Attempt,
         Protocol, //
@@ -75,6 +76,8 @@
     pub route: Arc<Route>,
     /// Service that was drawn from the route's targets.
     pub service: Arc<str>,
+    /// What began the stream, if part of it was sent to the caller; it goes on only there.
+    pub origin: Option<Arc<Origin>>,
     /// The workspace that the caller's key belongs to; `None` on open routes.
     pub workspace: Option<Arc<Workspace>>,
     /// The request as it is sent to endpoints.
@@ -136,13 +139,15 @@
         }
     }
 
-    /// Salt that separates the cached prefixes of isolated workspaces, models and weights versions.
-    pub fn cache_salt(&self, version: u64) -> u64 {
+    /// Salt that separates the cached prefixes of isolated workspaces, models, weights versions and
+    /// builds of endpoints.
+    pub fn cache_salt(&self, version: u64, build: &str) -> u64 {
         let isolated = self.workspace.as_ref().filter(|w| w.isolated);
         let mut hasher = Xxh3::new();
         for field in [
             isolated.map_or("", |workspace| &workspace.name),
             self.head.model.as_deref().unwrap_or_default(),
+            build,
         ] {
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field.as_bytes());
@@ -151,8 +156,8 @@
         hasher.digest()
     }
 
-    /// Prefix chain of the prompt. It is independent of the weights version: beliefs about
-    /// an endpoint's cache are dropped when its weights change.
+    /// Prefix chain of the prompt. It is independent of weights version and build: beliefs about
+    /// an endpoint's cache are dropped when these change.
     pub fn prefix_chain(&self) -> Chain {
         if self.head.segments.is_empty() {
             // A plain request counts as one block, since its size is unknown.
@@ -162,7 +167,7 @@
             };
         }
         let segments = self.head.segments.iter().map(|s| (s.id, s.tokens));
-        Chain::from_segments(self.cache_salt(0), segments)
+        Chain::from_segments(self.cache_salt(0, ""), segments)
     }
 
     /// Ids of the segments that other requests may share: all but the last, which belongs to the
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -53,6 +53,11 @@
         Body, //
     },
     node::Node,
+    origin::{
+        self,
+        Origin,
+        stream_of, //
+    },
     protocol::Protocol,
     refusal::{
         Reason,
@@ -110,8 +115,13 @@
     node: &Arc<Node<P>>,
     admission: Admission,
 ) -> Result<Response<Body>, Refusal> {
-    let Admission { call, charge } = admission;
+    let Admission { mut call, charge } = admission;
     shed(node, &call)?;
+    if call.head.last_event.is_some() {
+        let origin = origin::find(node, &call).await?;
+        call.service = origin.service.clone();
+        call.origin = Some(origin);
+    }
     let mut attempts = Attempts::new(charge);
     let mut last_event = call.head.last_event;
     let opening = open_stream(node, &call, &mut attempts, &mut last_event).await?;
@@ -119,6 +129,13 @@
         Opening::Stream(stream) => *stream,
         Opening::Error(head, body) => return Ok(buffered::caller_response::<P>(&head, body)),
     };
+    if call.origin.is_none() {
+        let origin = Origin::of(&upstream.selection);
+        if call.route.is_resumable() {
+            node.origins.record(stream_of(&call.head.id), &origin);
+        }
+        call.origin = Some(origin);
+    }
     let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let mut response = Response::new(Body::channel(receiver));
     *response.status_mut() = head.status;
@@ -468,6 +485,7 @@
                     event::STREAM_RESUMED,
                     request = call.head.id.to_str().unwrap_or_default(),
                     endpoint = &*next.selection.endpoint.registration.name,
+                    build = &*next.selection.endpoint.registration.build,
                     last_event = *last_event,
                 );
                 *upstream = Some(next);
--- a/crates/router/tests/endpoints.rs
+++ b/crates/router/tests/endpoints.rs
@@ -35,6 +35,7 @@
             service: "s".into(),
             address: ([127, 0, 0, 1], 9).into(),
             domain: "d".into(),
+            build: "".into(),
             slots: 1,
             leaving: value[2] > 0,
             weights: Vec::new(),
--- a/crates/router/tests/tables.rs
+++ b/crates/router/tests/tables.rs
@@ -106,6 +106,7 @@
         service: "s".into(),
         address: ADDRESS,
         domain: "d".into(),
+        build: "".into(),
         slots: 1,
         leaving: false,
         weights: vec![("m".into(), version)],
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -122,6 +122,10 @@
     ENDPOINT_LIMITED = 423;
     /// The instance that grants the requests to an endpoint with a limit does not answer; the next one is asked.
     ENDPOINT_LIMIT_SILENT = 424;
+    /// The table names which builds of a service its endpoints have; those in brackets were gone a short time ago.
+    BUILDS_RECORDED = 425;
+    /// A caller takes a stream up; it goes on only at endpoints of the service and build that began it.
+    STREAM_TAKEN_UP = 426;
     /// The table did not answer a request about token rights; the rights expire with their term if this lasts.
     RIGHTS_FAULT = 500;
     /// Other instances ended the rights of this instance after its term; it starts over.
