Take-ups come before new streams in the limits of workspaces

Take-ups now count as urgent, wait up to the route's objective for units, and urgent requests that are refused come back in turn: units are promised to each in order, and others leave them these units, for 2 s ahead at most.

Ruled out: unknown origins (2 of some 80 refusals; the other take-ups were found in the records).

The bound of a window is checked by the tests of before, unchanged.

--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::shed::Turns;
+
 /// Fraction of the tolerance that buckets may use. The rest covers periods with two owners, the
 /// [`Part`]s of instances that the owner does not know to be silent, and requests that overspend.
 const USABLE_TOLERANCE_FRACTION: f64 = 0.5;
@@ -15,6 +17,9 @@
 const INITIAL_FRACTION: f64 = 0.2;
 /// Fraction of the capacity that is reserved for the most urgent requests.
 const RESERVE_FRACTION: f64 = 0.15;
+/// Longest time ahead for which units are promised to urgent requests that were refused; not all of
+/// them come back.
+const MAX_PROMISED: Duration = Duration::from_secs(2);
 /// Fraction of the tolerance that all instances together may spend before the owner leaves their
 /// parts to them.
 const ADVANCE_FRACTION: f64 = 0.25;
@@ -104,6 +109,8 @@
 pub struct Bucket {
     level: f64,
     updated_at: Duration,
+    /// Turns of urgent requests that were refused and come back.
+    turns: Turns,
 }
 
 impl Bucket {
@@ -113,6 +120,7 @@
         Self {
             level: share.capacity * INITIAL_FRACTION,
             updated_at: since,
+            turns: Turns::default(),
         }
     }
 
@@ -122,11 +130,13 @@
         self.level = self.level.min(share.capacity * INITIAL_FRACTION);
     }
 
-    /// Charges `cost` units. Only urgent requests may use the reserve.
+    /// Charges `cost` units. Only urgent requests may use the reserve, and what is promised to those
+    /// that were refused before.
     ///
     /// # Errors
     ///
-    /// The delay after which the request would be admitted if no other came before it.
+    /// The delay after which the request would be admitted if no other came before it; for an urgent
+    /// one, none but those that were refused before.
     pub fn charge(
         &mut self,
         now: Duration,
@@ -138,15 +148,22 @@
         let reserve = if urgent {
             0.0
         } else {
-            share.capacity * RESERVE_FRACTION
+            let promised = self.turns.remaining(now).as_secs_f64() * share.rate;
+            share.capacity * RESERVE_FRACTION + promised
         };
         if self.level > reserve {
             self.level -= cost;
             return Ok(());
         }
-        let missing = reserve + 1.0 - self.level;
-        let seconds = missing / share.rate.max(f64::MIN_POSITIVE);
-        Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+        let time = |units: f64| {
+            let seconds = units / share.rate.max(f64::MIN_POSITIVE);
+            Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+        };
+        let delay = time(reserve + 1.0 - self.level);
+        if !urgent {
+            return Err(delay);
+        }
+        Err(self.turns.take_within(now, delay, time(cost), MAX_PROMISED))
     }
 
     /// Charges up to `extra` units for future requests, as long as half of the capacity is left;
@@ -206,6 +223,7 @@
         self.bucket = Some(Bucket {
             level: level.map_or(advance, |level| level.min(advance)),
             updated_at: now + PART_DELAY,
+            turns: Turns::default(),
         });
     }
 
--- a/crates/policy/src/shed.rs
+++ b/crates/policy/src/shed.rs
@@ -88,4 +88,23 @@
         self.next = turn + work;
         turn - now
     }
+
+    /// Like [`Turns::take`], but the work of refused callers is planned for no more than `horizon`.
+    pub fn take_within(
+        &mut self,
+        now: Duration,
+        delay: Duration,
+        work: Duration,
+        horizon: Duration,
+    ) -> Duration {
+        let delay = delay.max(self.remaining(now));
+        let end = delay.saturating_add(work).min(horizon);
+        self.next = self.next.max(now.saturating_add(end));
+        delay
+    }
+
+    /// Time until the work of all callers refused so far can be done.
+    pub fn remaining(&self, now: Duration) -> Duration {
+        self.next.saturating_sub(now)
+    }
 }
--- a/crates/policy/tests/share.rs
+++ b/crates/policy/tests/share.rs
@@ -84,6 +84,46 @@
     assert_eq!(bucket.charge(full, share, 1.0, true), Ok(()));
 }
 
+/// Guards against urgent requests that all come back at the same moment and are refused again: each
+/// is told to come back when the units of those before it have accrued, and others leave them those units.
+#[test]
+fn urgent_requests_come_back_in_turn() {
+    let share = Share {
+        rate: 10.0,
+        capacity: 100.0,
+    };
+    let mut bucket = Bucket::new(Duration::ZERO, share);
+    let now = Duration::from_secs(100);
+    assert_eq!(bucket.charge(now, share, 105.0, true), Ok(()));
+    let waits: Vec<Duration> = (0..3)
+        .map(|_| bucket.charge(now, share, 5.0, true).unwrap_err())
+        .collect();
+    let millis: Vec<u128> = waits.iter().map(Duration::as_millis).collect();
+    assert_eq!(millis, [600, 1_100, 1_600]);
+    for wait in waits {
+        let turn = now + wait;
+        assert!(bucket.charge(turn, share, 1.0, false).is_err());
+        assert_eq!(bucket.charge(turn, share, 5.0, true), Ok(()));
+    }
+}
+
+/// Guards against requests that are starved for urgent ones that were refused and never came back.
+#[test]
+fn units_are_promised_for_a_short_time_only() {
+    let share = Share {
+        rate: 10.0,
+        capacity: 100.0,
+    };
+    let mut bucket = Bucket::new(Duration::ZERO, share);
+    let now = Duration::from_secs(100);
+    assert_eq!(bucket.charge(now, share, 105.0, true), Ok(()));
+    for _ in 0..1_000 {
+        assert!(bucket.charge(now, share, 5.0, true).is_err());
+    }
+    let later = now + Duration::from_secs(5);
+    assert_eq!(bucket.charge(later, share, 1.0, false), Ok(()));
+}
+
 #[test]
 fn nothing_is_charged_ahead_once_half_is_used() {
     let share = Share {
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use bytes::Bytes;
@@ -47,7 +50,7 @@
 };
 
 /// Delay after which callers retry while no configuration is known; about the time of a restart.
-const NOT_READY_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(300);
+const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// A request that may be sent to an endpoint, with the charge to the quota of its workspace.
 #[derive(Debug)]
@@ -199,8 +202,15 @@
         return Ok(None);
     };
     let units = call.units(workspace);
-    let urgent = call.class() == Class::Urgent;
-    let charged = quota::charge(node, workspace, units, urgent).await;
+    // Callers have part of a stream that they take up, and few retries.
+    let is_take_up = call.head.last_event.is_some();
+    let urgent = call.class() == Class::Urgent || is_take_up;
+    let patience = if is_take_up {
+        call.route.objective.min(call.time_left() / 2)
+    } else {
+        Duration::ZERO
+    };
+    let charged = quota::charge(node, workspace, units, urgent, patience).await;
     charged.map_err(|exceeded| {
         let (rate, burst) = workspace.limit.map_or((0, 0), |l| (l.rate, l.burst));
         let (name, decided_by) = (&workspace.name, exceeded.decided_by);
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -277,7 +277,8 @@
     }
 }
 
-/// Charges `units` to the limit of `workspace`; `None` if it has no limit.
+/// Charges `units` to the limit of `workspace`, if need be after a wait of `patience` at most; `None`
+/// if it has no limit.
 ///
 /// # Errors
 ///
@@ -287,6 +288,24 @@
     workspace: &Workspace,
     units: u64,
     urgent: bool,
+    patience: Duration,
+) -> Result<Option<Charge>, Exceeded> {
+    let end = clock::now() + patience;
+    loop {
+        match try_charge(node, workspace, units, urgent).await {
+            Err(exceeded) if clock::now() + exceeded.wait < end => {
+                tokio::time::sleep(exceeded.wait).await;
+            }
+            charged => return charged,
+        }
+    }
+}
+
+async fn try_charge<P: Protocol>(
+    node: &Node<P>,
+    workspace: &Workspace,
+    units: u64,
+    urgent: bool,
 ) -> Result<Option<Charge>, Exceeded> {
     let Some(limit) = workspace.limit else {
         return Ok(None);
