An owner of limits that does not run is replaced at once

For 2.3 s after an instance was killed, requests that were larger than a small advance were refused (429) if it owned their workspace's limit: the others waited for it as for one that is cut off and goes on granting.

An owner that does not answer is now connected to: a refused connection proves that its process does not run. It is then not live until it is heard again, so that the next in order owns the limit, with a nearly empty bucket as after any change of owner. An instance that is cut off, suspended or without power refuses nothing and is waited for as before.

--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -34,6 +34,9 @@
 /// several in it.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time after a refused connection in which heartbeats may still arrive that hubs pass on.
+const LATE_HEARTBEATS: Duration = Duration::from_millis(300);
+
 /// Minimum link bandwidth of a hub, in megabits per second, if any instance has that much: a hub
 /// sends each change of the configuration to all other instances at once.
 const MIN_FAST_LINK_MBPS: u32 = 100;
@@ -77,6 +80,8 @@
     leaving: bool,
     /// Time of its latest row or heartbeat, by the local clock.
     seen_at: Duration,
+    /// Time up to which heartbeats do not count, since it was found not to run.
+    gone_until: Duration,
     /// Time of its latest datagram to this instance.
     heard_at: Duration,
 }
@@ -131,6 +136,7 @@
                 members[index].row = Arc::new(row);
                 members[index].leaving = false;
                 members[index].seen_at = now;
+                members[index].gone_until = Duration::ZERO;
             }
             (Ok(index), None)
                 if members[index].revision.era < revision.era
@@ -150,6 +156,7 @@
                     hash: name_hash(name),
                     leaving: false,
                     seen_at: now,
+                    gone_until: Duration::ZERO,
                     heard_at: Duration::ZERO,
                 },
             ),
@@ -168,6 +175,15 @@
         }
     }
 
+    /// Records that the instance with this address for datagrams refuses connections: its process does
+    /// not run, and it is not live until it is heard again.
+    pub fn record_gone(&self, exchange: SocketAddr, now: Duration) -> Option<Arc<str>> {
+        let mut members = self.members.write();
+        let member = members.iter_mut().find(|m| m.row.exchange == exchange)?;
+        member.gone_until = now + LATE_HEARTBEATS;
+        Some(member.name.clone())
+    }
+
     /// Records a datagram from this address; `false` if no registered instance has it.
     pub fn record_contact(&self, address: IpAddr, now: Duration) -> bool {
         let mut members = self.members.write();
@@ -262,5 +278,7 @@
 }
 
 fn is_live(member: &Member, now: Duration) -> bool {
-    !member.is_leaving() && now.saturating_sub(member.seen_at) <= LIVE_HORIZON
+    !member.is_leaving()
+        && member.seen_at >= member.gone_until
+        && now.saturating_sub(member.seen_at) <= LIVE_HORIZON
 }
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -3,6 +3,7 @@
 //! An instance that starts while the table gives no answer takes its state from them.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -15,10 +16,12 @@
     http::Client,
     table::Change, //
 };
+use state::clock;
 use telemetry::{
     emit,
     event, //
 };
+use tokio::net::TcpStream;
 
 use crate::{
     message::Deltas,
@@ -29,6 +32,9 @@
 
 /// Path that returns the [`State`] of an instance.
 pub const STATE_PATH: &str = "/v1/state";
+/// Timeout of a connection that shows whether a peer runs: many round trips within a region.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// Path that returns the changes that the requesting instance is missing. Its revisions of the rows
 /// of operators, endpoints and instances follow in this order, each after a slash, as era and number
 /// with a dot between.
@@ -127,6 +133,28 @@
     Ok(postcard::from_bytes(&response.await?.body)?)
 }
 
+impl<P: Protocol> Node<P> {
+    /// Records that the process of the instance with this address for datagrams does not run; `false`
+    /// if no instance has the address.
+    pub fn record_gone(&self, exchange: SocketAddr) -> bool {
+        let Some(name) = self.members.record_gone(exchange, clock::now()) else {
+            return false;
+        };
+        emit!(info, event::INSTANCE_GONE, instance = &*name);
+        true
+    }
+}
+
+/// Whether the instance with this address for datagrams refuses connections, so that its process does
+/// not run. One that is cut off, suspended or without power does not refuse any.
+pub async fn is_gone<P: Protocol>(node: &Node<P>, exchange: SocketAddr) -> bool {
+    let Some(address) = node.members.peer_plane(exchange.ip()) else {
+        return false;
+    };
+    let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    connected.is_ok_and(|c| c.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused))
+}
+
 /// Response to a request for [`CHANGES_PATH`]; `None` if `path` is another path or malformed.
 pub fn answer_changes<P: Protocol>(node: &Node<P>, path: &str) -> Option<Bytes> {
     let revisions = path.strip_prefix(CHANGES_PATH)?.strip_prefix('/')?;
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -44,6 +44,7 @@
         Message, //
     },
     node::Node,
+    peer,
     protocol::Protocol, //
 };
 
@@ -333,7 +334,7 @@
         },
         urgent,
     };
-    let ahead = acquire(node, name, limit, request, now).await?;
+    let ahead = acquire(node, name, limit, request).await?;
     if ahead > 0.0 {
         node.quotas.add_credit(name, ahead, clock::now());
     }
@@ -347,19 +348,22 @@
     workspace: &Arc<str>,
     limit: Limit,
     req: GrantRequest,
-    now: Duration,
 ) -> Result<f64, Exceeded> {
     let exceeded = |decided_by| move |wait| Exceeded { wait, decided_by };
-    let Some(owner) = remote_owner(node, workspace, now) else {
-        let share = full_share(node, limit);
-        let since = node.members.stable_since(now);
-        let result = node.quotas.charge_owned(workspace, share, &req, since, now);
-        return result.map_err(exceeded(Decider::Local));
-    };
-    let retry_at = node
-        .quotas
-        .with_entry(workspace, now, |entry| entry.owner_retry_at);
-    if retry_at <= now {
+    let owner = loop {
+        let now = clock::now();
+        let Some(owner) = remote_owner(node, workspace, now) else {
+            let share = full_share(node, limit);
+            let since = node.members.stable_since(now);
+            let result = node.quotas.charge_owned(workspace, share, &req, since, now);
+            return result.map_err(exceeded(Decider::Local));
+        };
+        let retry_at = node
+            .quotas
+            .with_entry(workspace, now, |entry| entry.owner_retry_at);
+        if retry_at > now {
+            break owner;
+        }
         let message = |id| Message::GrantRequest(GrantRequest { id, ..req.clone() });
         let answer = exchange::query(node, owner, message);
         if let Ok(Some(Message::Grant(grant))) = tokio::time::timeout(OWNER_TIMEOUT, answer).await {
@@ -374,10 +378,14 @@
             workspace = &**workspace,
             owner = %owner,
         );
+        if peer::is_gone(node, owner).await && node.record_gone(owner) {
+            continue;
+        }
         let retry_at = clock::now() + OWNER_BACKOFF;
         node.quotas
             .with_entry(workspace, now, |entry| entry.owner_retry_at = retry_at);
-    }
+        break owner;
+    };
     let quotas = &node.quotas;
     let result = quotas.charge_part(node, workspace, limit, &req, clock::now());
     result.map(|()| 0.0).map_err(exceeded(Decider::Part(owner)))
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -78,6 +78,8 @@
     INSTANCE_UNREADABLE = 303;
     /// A starting instance has imported the state of a peer.
     STATE_IMPORTED = 304;
+    /// An instance does not answer and refuses connections; it does not count as live until it is heard again.
+    INSTANCE_GONE = 305;
     /// An endpoint failed a request. If its connection ended, `segments` are those that the prompt shares, and `fingerprint` is the same for all repetitions of the request.
     ENDPOINT_FAULT = 400;
     /// A request was refused.
