A stream leaves a silent endpoint only for one that can go on with it

Callers saw a stream cut off in the middle although its endpoint was sound and would have gone on: an endpoint that sent nothing for 2 s was left at once, and only then was it asked whether another run is allowed and whether another endpoint takes the stream. The answer ended early if the route allows one run, at the second silence of a route with two, if the shared retries were used up, and if no other endpoint was there, could be reached, or took the request. A stream that made room for newer weights was lost in the same way.

Now a silence alone ends no answer. The other endpoint is chosen, granted its limit and connected to while the present one is still read; events that arrive meanwhile are forwarded and the stream stays. The retry is charged last. If there is no other endpoint, the stream waits at the present one until the caller's deadline and asks again each second (STREAM_STAYS). The connection is still closed before the request is sent to the other endpoint. If that one rejects the request, the stream may return to the one it left; one attempt is kept for this.

--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -80,6 +80,12 @@
     since: Instant,
 }
 
+impl Idle {
+    fn is_ready(&self) -> bool {
+        self.since.elapsed() < IDLE_TIMEOUT && self.connection.is_ready()
+    }
+}
+
 /// How a request is sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -239,6 +245,22 @@
         Ok(self.answer(connection, response, options.max_idle))
     }
 
+    /// Connects to the target unless there is an idle connection to it, and keeps the connection
+    /// for the next request.
+    ///
+    /// # Errors
+    ///
+    /// Always with [`Verdict::NotRun`], since nothing was sent.
+    pub async fn connect(&self, target: Target, options: Options) -> Result<(), Failure> {
+        if self.idle.lock().has_ready(target.address) {
+            return Ok(());
+        }
+        let connection = Connection::open(target, options.connect_timeout).await?;
+        let connection = connection.with_id_header(self.id_header.clone());
+        self.push_idle(connection, options.max_idle);
+        Ok(())
+    }
+
     fn answer(
         self: &Arc<Self>,
         connection: Connection,
@@ -262,9 +284,9 @@
         let mut table = self.idle.lock();
         let index = table.find(address).ok()?;
         let idle = &mut table.entries[index].1;
-        while let Some(Idle { connection, since }) = idle.pop() {
-            if since.elapsed() < IDLE_TIMEOUT && connection.is_ready() {
-                return Some(connection);
+        while let Some(idle) = idle.pop() {
+            if idle.is_ready() {
+                return Some(idle.connection);
             }
         }
         None
@@ -294,6 +316,11 @@
         self.entries.binary_search_by_key(&address, |entry| entry.0)
     }
 
+    fn has_ready(&self, address: SocketAddr) -> bool {
+        self.find(address)
+            .is_ok_and(|index| self.entries[index].1.iter().any(Idle::is_ready))
+    }
+
     /// Closes expired connections to all endpoints, removed endpoints included.
     fn sweep(&mut self, now: Instant) {
         if self
--- a/crates/policy/src/retry_share.rs
+++ b/crates/policy/src/retry_share.rs
@@ -34,13 +34,18 @@
         self.spent = (self.spent - allowance.ratio * USABLE_FRACTION).max(0.0);
     }
 
+    /// Whether this instance, one of `instances`, has a retry left.
+    pub fn has_left(&self, allowance: Allowance, instances: usize) -> bool {
+        let share = allowance.slack * USABLE_FRACTION / instances.max(1) as f64;
+        self.spent + 1.0 <= share.max(1.0)
+    }
+
     /// Spends one retry if this instance, one of `instances`, has one left.
     pub fn spend(&mut self, allowance: Allowance, instances: usize) -> bool {
-        let share = allowance.slack * USABLE_FRACTION / instances.max(1) as f64;
-        if self.spent + 1.0 > share.max(1.0) {
-            return false;
+        let has_left = self.has_left(allowance, instances);
+        if has_left {
+            self.spent += 1.0;
         }
-        self.spent += 1.0;
-        true
+        has_left
     }
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,6 +1,9 @@
 //! Sends a request to endpoints, with retries at others as long as a retry is safe.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use endpoint::{
     Answer,
@@ -61,6 +64,17 @@
     /// Set if the request is the trial of quarantined segments.
     trial: Option<Trial>,
     record: Record,
+    /// Where the next attempt goes, if it was placed ahead of it.
+    placed: Option<Placed>,
+    /// Name of the endpoint that a stream has left although it may still serve it.
+    left: Option<Arc<str>>,
+}
+
+/// An endpoint chosen for an attempt that has not begun.
+#[derive(Debug)]
+struct Placed {
+    selection: Selection,
+    trial: Option<Trial>,
 }
 
 /// An answer whose head has been received.
@@ -81,6 +95,8 @@
             charge,
             trial: None,
             record: Record::default(),
+            placed: None,
+            left: None,
         }
     }
 
@@ -99,19 +115,15 @@
             if call.time_left() < MIN_TIME_LEFT {
                 return Err(self.deadline_refusal());
             }
-            if self.trial.as_ref().is_none_or(Trial::is_spent) {
-                self.trial = match quarantine::check(node, call).await {
-                    Ok(trial) => trial,
+            let selection = match self.placed.take() {
+                Some(Placed { selection, trial }) => {
+                    self.trial = trial;
+                    selection
+                }
+                None => match self.place(node, call, last_event).await {
+                    Ok(selection) => selection,
                     Err(refusal) => return Err(self.with_verdict(refusal)),
-                };
-            }
-            let must_place = last_event.is_some()
-                || self.record.verdict() != Verdict::NotRun
-                || self.trial.is_some();
-            let selection = match choose::choose(node, call, self.record.tried(), must_place).await
-            {
-                Ok(selection) => selection,
-                Err(refusal) => return Err(self.with_verdict(refusal)),
+                },
             };
             self.record_send(node, call);
             match self.try_endpoint(node, call, &selection, last_event).await {
@@ -131,6 +143,61 @@
         }
     }
 
+    async fn place<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        last_event: Option<u64>,
+    ) -> Result<Selection, Refusal> {
+        if self.trial.as_ref().is_none_or(Trial::is_spent) {
+            self.trial = quarantine::check(node, call).await?;
+        }
+        let must_place = last_event.is_some()
+            || self.record.verdict() != Verdict::NotRun
+            || self.trial.is_some();
+        loop {
+            let chosen = choose::choose(node, call, self.record.tried(), must_place).await;
+            let Some(left) = chosen.is_err().then(|| self.left.take()).flatten() else {
+                return chosen;
+            };
+            self.record.allow(&left);
+        }
+    }
+
+    /// Chooses another endpoint that may go on with a stream, and connects to it, while `present`
+    /// still serves the stream. The next attempt goes there, and a retry is charged for it.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none now.
+    pub async fn place_ahead<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        present: &Arc<str>,
+    ) -> Result<(), String> {
+        let no_retry = || Err("no retry is left".to_owned());
+        if call.time_left() < MIN_TIME_LEFT || !node.has_retry_left(&call.service) {
+            return no_retry();
+        }
+        let trial = quarantine::check(node, call).await;
+        let trial = trial.map_err(|refusal| refusal.message)?;
+        let mut tried = self.record.tried().to_vec();
+        tried.push(present.clone());
+        let selection = choose::choose(node, call, &tried, true).await;
+        let selection = selection.map_err(|refusal| refusal.message)?;
+        let target = selection.target();
+        if let Err(failure) = node.pool.connect(target, options(node, call)).await {
+            selection.record_failure(node);
+            return Err(failure.to_string());
+        }
+        if !node.try_charge_retry(&call.service) {
+            return no_retry();
+        }
+        self.placed = Some(Placed { selection, trial });
+        Ok(())
+    }
+
     fn count_outcome<P: Protocol>(&self, node: &Node<P>, call: &Call, outcome: &'static str) {
         let is_repeat = self.record.attempts() > 1;
         node.metrics
@@ -154,10 +221,7 @@
         last_event: Option<u64>,
     ) -> Result<(Answer, Reply), Failure> {
         let registration = &selection.endpoint.registration;
-        let target = Target {
-            address: registration.address,
-            echoes_id: true,
-        };
+        let target = selection.target();
         let time_left = call.time_left();
         let attempt = Attempt {
             endpoint: &registration.name,
@@ -172,16 +236,10 @@
             }),
             last_event,
         };
-        let options = Options {
-            connect_timeout: CONNECT_TIMEOUT.min(time_left),
-            head_timeout: time_left,
-            reuse: call.is_repeatable(),
-            max_idle: max_idle(node, call),
-        };
         let request = call.build_request::<P>(target, &attempt)?;
         let sent_at = node.beliefs.now();
         let answer = tokio::select! {
-            answer = node.pool.send(target, request, options) => answer?,
+            answer = node.pool.send(target, request, options(node, call)) => answer?,
             expired = selection.weights_expired(node) => return Err(expired),
         };
         let reply = P::read_reply(&answer.head, &registration.name);
@@ -293,11 +351,25 @@
         self.record.add_truncation(name, failure);
     }
 
-    /// Whether a stream that an endpoint answers may continue at another one.
+    /// Records that a stream leaves an endpoint which may still serve it; it may return there if no
+    /// other endpoint takes it.
+    pub fn add_departure<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        selection: &Selection,
+        failure: Failure,
+    ) {
+        self.add_truncation(node, call, selection, failure);
+        self.left = Some(selection.endpoint.registration.name.clone());
+    }
+
+    /// Whether a stream that an endpoint answers may continue at another one, and return if that one
+    /// rejects it.
     pub fn may_move(&self, call: &Call) -> bool {
         call.is_repeatable()
             && self.record.runs() < call.route.max_runs
-            && self.record.attempts() < MAX_ATTEMPTS
+            && self.record.attempts() + 1 < MAX_ATTEMPTS
     }
 
     /// Whether another attempt is allowed.
@@ -342,6 +414,25 @@
     }
 }
 
+impl Selection {
+    fn target(&self) -> Target {
+        Target {
+            address: self.endpoint.registration.address,
+            echoes_id: true,
+        }
+    }
+}
+
+fn options<P: Protocol>(node: &Node<P>, call: &Call) -> Options {
+    let time_left = call.time_left();
+    Options {
+        connect_timeout: CONNECT_TIMEOUT.min(time_left),
+        head_timeout: time_left,
+        reuse: call.is_repeatable(),
+        max_idle: max_idle(node, call),
+    }
+}
+
 /// Whether the connection ended before the answer was complete, as when an endpoint crashes. An
 /// answer that ends with its connection may look complete, but empty.
 fn is_break(fault: &Fault) -> bool {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -446,6 +446,13 @@
         self.with_budget(service, |budget| budget.earn(allowance));
     }
 
+    /// Whether the retry budget of a service has a retry left.
+    pub fn has_retry_left(&self, service: &Arc<str>) -> bool {
+        let allowance = self.allowance();
+        let instances = self.instance_count();
+        self.with_budget(service, |budget| budget.has_left(allowance, instances))
+    }
+
     /// Charges one retry to the retry budget of a service; returns `false` if none is left.
     pub fn try_charge_retry(&self, service: &Arc<str>) -> bool {
         let allowance = self.allowance();
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -5,6 +5,8 @@
 //! event; the caller sees one answer, with the head that the first endpoint
 //! sent.
 
+mod departure;
+
 use std::{
     sync::Arc,
     time::{
@@ -63,9 +65,6 @@
 
 /// Maximum number of chunks that are buffered for a slow caller.
 const MAX_BUFFERED_CHUNKS: usize = 16;
-/// Time without an event after which a started stream is resumed at another endpoint, if it may
-/// be. Pauses of engines that are only fully loaded are shorter.
-const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after the deadline in which events that have already arrived are still forwarded.
 const LATE_EVENTS_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -80,6 +79,8 @@
     /// `None` after a failure, until another endpoint has continued the stream.
     upstream: Option<Upstream>,
     longest_pause: Duration,
+    /// From when another endpoint is asked for again that lets the present one load weights.
+    place_at: Instant,
 }
 
 /// The stream from the current endpoint.
@@ -130,6 +131,7 @@
         last_event,
         upstream: Some(upstream),
         longest_pause: Duration::ZERO,
+        place_at: Instant::now(),
     };
     tokio::spawn(relay.run(first, chunks));
     Ok(response)
@@ -378,42 +380,6 @@
         }
     }
 
-    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
-        let Some(upstream) = &mut self.upstream else {
-            return Ok(None);
-        };
-        let mut deadline = self.call.deadline;
-        if self.call.is_repeatable() {
-            deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
-        }
-        let overdue = upstream.selection.load_overdue(&self.node);
-        let may_move = self.attempts.may_move(&self.call);
-        let next = tokio::select! {
-            biased;
-            next = upstream.next(&mut self.last_event, deadline) => next,
-            overdue = overdue, if may_move => return self.move_away(overdue, deadline).await,
-        };
-        self.handle_next(next).await
-    }
-
-    /// Continues the stream at another endpoint, so that its engine can load newer weights; it stays
-    /// for another event if no retry is left now.
-    async fn move_away(
-        &mut self,
-        overdue: Failure,
-        deadline: Instant,
-    ) -> Result<Option<Bytes>, Refusal> {
-        if self.attempts.may_retry(&self.node, &self.call) {
-            self.leave(overdue);
-            return self.reopen().await;
-        }
-        let Some(upstream) = &mut self.upstream else {
-            return Ok(None);
-        };
-        let next = upstream.next(&mut self.last_event, deadline).await;
-        self.handle_next(next).await
-    }
-
     async fn handle_next(
         &mut self,
         next: Result<Option<Bytes>, Failure>,
@@ -434,22 +400,17 @@
 
     /// Resumes the stream at another endpoint, if that is allowed.
     async fn resume(&mut self, failure: Failure) -> Result<Option<Bytes>, Refusal> {
-        self.leave(failure);
+        if let Some(failed) = self.upstream.take() {
+            let (node, call) = (&self.node, &self.call);
+            self.attempts
+                .add_truncation(node, call, &failed.selection, failure);
+        }
         if !self.attempts.may_retry(&self.node, &self.call) {
             return Err(self.attempts.final_refusal(&self.call));
         }
         self.reopen().await
     }
 
-    /// Closes the connection to the endpoint, which may still work on the request.
-    fn leave(&mut self, failure: Failure) {
-        if let Some(left) = self.upstream.take() {
-            let (node, call) = (&self.node, &self.call);
-            self.attempts
-                .add_truncation(node, call, &left.selection, failure);
-        }
-    }
-
     /// Continues the stream at another endpoint after the last forwarded event.
     async fn reopen(&mut self) -> Result<Option<Bytes>, Refusal> {
         let Self {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -112,6 +112,8 @@
     ENDPOINT_KEPT = 415;
     /// The table was restored from a copy whose row of an endpoint is older than what is known of the endpoint; the row is ignored for a moment, in which the endpoint may write another.
     ENDPOINT_ROW_OLD = 416;
+    /// A stream that would leave its endpoint stays, since no other endpoint can go on with it now.
+    STREAM_STAYS = 417;
     /// The outcome of a request that may run once could not be written; replays are told that it may have run.
     CLAIM_UNSETTLED = 420;
     /// An endpoint has stated in an answer that it leaves; it gets no new requests, whatever its row says.
