The body of a refused request is read on

Callers got neither an answer nor a refusal for requests that were refused for their head alone: a route or key that a change of the configuration had removed, no configuration yet, or a malformed head. The refusal was sent before the body had arrived and the rest of the body was not read, so hyper closed the connection. Callers that were still sending got a reset, and the refusal with it.

The body is now read on and dropped, up to the largest one allowed and for 5 s; the refusal is still sent at once. The connection stays usable.

--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use bytes::Bytes;
@@ -47,7 +50,10 @@
 };
 
 /// Delay after which callers retry while no configuration is known; about the time of a restart.
-const NOT_READY_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(300);
+const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Time in which the body of a refused request is read on.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A request that may be sent to an endpoint, with the charge to the quota of its workspace.
 #[derive(Debug)]
@@ -69,13 +75,20 @@
     request: Request<Incoming>,
 ) -> Result<Admission, Refusal> {
     let arrived = Instant::now();
-    let Some(catalog) = node.catalog.load_full() else {
-        let message = "no configuration is known yet; come back or use another instance";
-        return Err(Refusal::not_run(Reason::NotReady, message).retry_after(NOT_READY_RETRY_DELAY));
-    };
     let (parts, body) = request.into_parts();
-    let host = host(&parts.headers)?.to_owned();
-    let (route, workspace) = authorize(&catalog, &head, &host, &parts)?;
+    let authorized = match authorize(node, &head, &parts) {
+        Ok(authorized) => authorized,
+        Err(refusal) => {
+            discard(node, body);
+            return Err(refusal);
+        }
+    };
+    let Authorized {
+        catalog,
+        host,
+        route,
+        workspace,
+    } = authorized;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
     let body = read_body(body, catalog.limits.max_body_bytes, deadline).await?;
@@ -96,7 +109,52 @@
     Ok(Admission { call, charge })
 }
 
-fn authorize(
+/// What the head of a request is allowed.
+struct Authorized {
+    catalog: Arc<Catalog>,
+    host: String,
+    route: Arc<Route>,
+    workspace: Option<Arc<Workspace>>,
+}
+
+fn authorize<P: Protocol>(
+    node: &Node<P>,
+    head: &RequestHead,
+    parts: &Parts,
+) -> Result<Authorized, Refusal> {
+    let Some(catalog) = node.catalog.load_full() else {
+        let message = "no configuration is known yet; come back or use another instance";
+        return Err(Refusal::not_run(Reason::NotReady, message).retry_after(NOT_READY_RETRY_DELAY));
+    };
+    let host = host(&parts.headers)?.to_owned();
+    let (route, workspace) = find_route(&catalog, head, &host, parts)?;
+    Ok(Authorized {
+        catalog,
+        host,
+        route,
+        workspace,
+    })
+}
+
+/// Reads on the body of a request that is refused while the body still arrives. The caller may read
+/// the refusal only after it has sent the body, and would not get it from a connection that was
+/// closed meanwhile.
+pub fn discard<P: Protocol>(node: &Node<P>, mut body: Incoming) {
+    let limits = node.catalog.load().as_ref().map(|c| c.limits);
+    let mut bytes_left = limits.unwrap_or_default().max_body_bytes;
+    let discarded = async move {
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = bytes_left.checked_sub(length) else {
+                return;
+            };
+            bytes_left = rest;
+        }
+    };
+    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, discarded));
+}
+
+fn find_route(
     catalog: &Catalog,
     head: &RequestHead,
     host: &str,
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -72,8 +72,13 @@
     ) -> Result<Response<Body>, Refusal> {
         let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
         let (parts, body) = request.into_parts();
-        let head = P::read_request(&parts)
-            .map_err(|error| Refusal::not_run(Reason::Malformed, error.to_string()))?;
+        let head = match P::read_request(&parts) {
+            Ok(head) => head,
+            Err(error) => {
+                admit::discard(&self.0, body);
+                return Err(Refusal::not_run(Reason::Malformed, error.to_string()));
+            }
+        };
         *id = Some(head.id.clone());
         let admission = admit::accept(&self.0, head, Request::from_parts(parts, body)).await?;
         let arrived_at = admission.call.arrived_at;
