A request with a large body survives a stop of its endpoint

Callers got 502 for requests with bodies of 90 KB whose endpoint stopped for 2.5 s and went on: we reset the connection after 1.5 s. The kernel counts TCP_USER_TIMEOUT while the receiver's buffer is full too, although a live host acknowledges each probe, so that a sound process that does not read for a moment looked like a host that is gone.

Requests with bodies above 32 KB, which may fill a receive buffer, now have a connection of their own with a time-out of 4 s. Smaller ones fit into any buffer and keep 1.5 s, so that a host that is gone is noticed as soon as before.

--- a/crates/endpoint/src/connection.rs
+++ b/crates/endpoint/src/connection.rs
@@ -20,7 +20,10 @@
 };
 use http_body_util::Full;
 use hyper::{
-    body::Incoming,
+    body::{
+        Body,
+        Incoming, //
+    },
     client::conn::http1::{
         Builder,
         SendRequest, //
@@ -50,6 +53,11 @@
 /// Longest wait for sent bytes to be acknowledged before the connection is closed: several
 /// round trips and retransmissions between the failure domains of one region.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Same for requests that may not fit into the receive buffer of a process that has stopped: the
+/// kernel counts the time for which the buffer is full, too.
+const LARGE_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
+/// Largest body that fits into any receive buffer together with its head, in bytes.
+const SMALL_BODY_BYTES: u64 = 32 << 10;
 /// Maximum number of informational answers before the answer to a request.
 const MAX_INFORMATIONAL: u32 = 64;
 /// Maximum size of the read buffer, and so of the head of an answer, in bytes.
@@ -111,6 +119,23 @@
     ///
     /// Always with [`Verdict::NotRun`], since nothing was sent.
     pub async fn open(target: Target, timeout: Duration) -> Result<Self, Failure> {
+        Self::open_with(target, timeout, UNACKNOWLEDGED_TIMEOUT).await
+    }
+
+    /// Connects within `timeout`, to send a request for which [`is_large`] holds.
+    ///
+    /// # Errors
+    ///
+    /// Always with [`Verdict::NotRun`], since nothing was sent.
+    pub async fn open_for_large(target: Target, timeout: Duration) -> Result<Self, Failure> {
+        Self::open_with(target, timeout, LARGE_UNACKNOWLEDGED_TIMEOUT).await
+    }
+
+    async fn open_with(
+        target: Target,
+        timeout: Duration,
+        unacknowledged_timeout: Duration,
+    ) -> Result<Self, Failure> {
         let failed = |reason: String| Failure {
             address: target.address,
             verdict: Verdict::NotRun,
@@ -122,7 +147,7 @@
             Ok(Err(error)) => return Err(failed(error.to_string())),
             Err(_) => return Err(failed(format!("no connection within {timeout:?}"))),
         };
-        set_options(&stream).map_err(|error| failed(error.to_string()))?;
+        set_options(&stream, unacknowledged_timeout).map_err(|error| failed(error.to_string()))?;
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -210,6 +235,11 @@
     }
 }
 
+/// Whether the body may fill the receive buffer of a process that has stopped.
+pub(crate) fn is_large(request: &Request<Full<Bytes>>) -> bool {
+    request.body().size_hint().lower() > SMALL_BODY_BYTES
+}
+
 /// Returns what is notified once the request has got too many informational answers, which hyper
 /// skips without limit.
 fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
@@ -225,12 +255,12 @@
 }
 
 /// Disables Nagle's algorithm and sets up the detection of a host that is gone without closing.
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
-    let timeout_ms = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    let timeout_ms = u32::try_from(unacknowledged_timeout.as_millis()).unwrap_or(u32::MAX);
     sockopt::set_tcp_user_timeout(stream, timeout_ms)?;
     Ok(())
 }
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -39,7 +39,10 @@
     REQUEST_ID,
     Target,
     Verdict,
-    connection::SendError, //
+    connection::{
+        SendError,
+        is_large, //
+    }, //
 };
 
 /// Usual limit of idle connections to one endpoint, for [`Options::max_idle`].
@@ -217,7 +220,8 @@
     /// Sends a request and waits for the head of the answer.
     ///
     /// If an idle connection proves closed before any byte was sent, the next idle
-    /// one is tried, and a new one when none is left.
+    /// one is tried, and a new one when none is left. A request with a large body has a
+    /// connection of its own.
     ///
     /// # Errors
     ///
@@ -228,6 +232,14 @@
         mut request: Request<Full<Bytes>>,
         options: Options,
     ) -> Result<Answer, Failure> {
+        if is_large(&request) {
+            let connection = Connection::open_for_large(target, options.connect_timeout).await?;
+            let options = Options {
+                max_idle: 0,
+                ..options
+            };
+            return self.send_on(connection, request, options).await;
+        }
         let reuse = options.reuse && target.echoes_id;
         let idle = || reuse.then(|| self.pop_idle(target.address)).flatten();
         while let Some(mut connection) = idle() {
@@ -240,6 +252,15 @@
             }
         }
         let connection = Connection::open(target, options.connect_timeout).await?;
+        self.send_on(connection, request, options).await
+    }
+
+    async fn send_on(
+        self: &Arc<Self>,
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+        options: Options,
+    ) -> Result<Answer, Failure> {
         let mut connection = connection.with_id_header(self.id_header.clone());
         let response = connection.send(request, options.head_timeout).await?;
         Ok(self.answer(connection, response, options.max_idle))
