Requests that have arrived are read before a stop closes connections

Callers whose requests had arrived whole got a closed connection and no answer when an instance stopped: 2.5 s after SIGTERM it accepts what is left in the queue and then ends all connections without a running request. hyper closes those that have sent nothing yet and those that are idle without looking for a request that has arrived but is not read. An instance that was held up just then lost all of them.

Idle connections are now closed 100 ms after the last one was accepted, and requests are read and answered until then.

--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -53,6 +53,9 @@
     }, //
 };
 
+/// Time in which requests that have arrived are read before idle connections are closed.
+const LAST_READ_TIME: Duration = Duration::from_millis(100);
+
 /// Reason why a streamed body ends incomplete; the connection is closed.
 #[derive(Clone, Debug)]
 #[derive(thiserror::Error)]
@@ -193,6 +196,8 @@
         spawn_connection(stream, service.clone(), &graceful);
     }
     drop(listener);
+    // Otherwise connections would be closed on which requests have arrived that are not read yet.
+    tokio::time::sleep(LAST_READ_TIME).await;
     graceful.shutdown().await;
 }
 
