The rest of a body that is too large is read on

Callers got neither an answer nor a refusal for a body above the limit, which a change of the configuration may lower while they send: the connection was closed within the body, and the 413 was lost with it. The rest is now read on and dropped, within the same bounds as the body of a request that is refused for its head.

--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -75,7 +75,7 @@
     request: Request<Incoming>,
 ) -> Result<Admission, Refusal> {
     let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let authorized = match authorize(node, &head, &parts) {
         Ok(authorized) => authorized,
         Err(refusal) => {
@@ -91,7 +91,13 @@
     } = authorized;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
-    let body = read_body(body, catalog.limits.max_body_bytes, deadline).await?;
+    let body = match read_body(&mut body, catalog.limits.max_body_bytes, deadline).await {
+        Ok(body) => body,
+        Err(refusal) => {
+            discard(node, body);
+            return Err(refusal);
+        }
+    };
     let content = content::<P>(parts, body);
     let workspace_name = workspace.as_ref().map(|workspace| &*workspace.name);
     let call = Call {
@@ -190,7 +196,7 @@
     Ok(text.split(':').next().unwrap_or_default())
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+async fn read_body(body: &mut Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
     let collected = Limited::new(body, limit).collect();
     match tokio::time::timeout_at(deadline.into(), collected).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
