--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -39,7 +39,10 @@
     REQUEST_ID,
     Target,
     Verdict,
-    connection::SendError, //
+    connection::{
+        SendError,
+        is_large, //
+    }, //
 };
 
 /// Usual limit of idle connections to one endpoint, for [`Options::max_idle`].
@@ -80,6 +83,12 @@
     since: Instant,
 }
 
+impl Idle {
+    fn is_ready(&self) -> bool {
+        self.since.elapsed() < IDLE_TIMEOUT && self.connection.is_ready()
+    }
+}
+
 /// How a request is sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -211,7 +220,8 @@
     /// Sends a request and waits for the head of the answer.
     ///
     /// If an idle connection proves closed before any byte was sent, the next idle
-    /// one is tried, and a new one when none is left.
+    /// one is tried, and a new one when none is left. A request with a large body has a
+    /// connection of its own.
     ///
     /// # Errors
     ///
@@ -222,6 +232,14 @@
         mut request: Request<Full<Bytes>>,
         options: Options,
     ) -> Result<Answer, Failure> {
+        if is_large(&request) {
+            let connection = Connection::open_for_large(target, options.connect_timeout).await?;
+            let options = Options {
+                max_idle: 0,
+                ..options
+            };
+            return self.send_on(connection, request, options).await;
+        }
         let reuse = options.reuse && target.echoes_id;
         let idle = || reuse.then(|| self.pop_idle(target.address)).flatten();
         while let Some(mut connection) = idle() {
@@ -234,11 +252,36 @@
             }
         }
         let connection = Connection::open(target, options.connect_timeout).await?;
+        self.send_on(connection, request, options).await
+    }
+
+    async fn send_on(
+        self: &Arc<Self>,
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+        options: Options,
+    ) -> Result<Answer, Failure> {
         let mut connection = connection.with_id_header(self.id_header.clone());
         let response = connection.send(request, options.head_timeout).await?;
         Ok(self.answer(connection, response, options.max_idle))
     }
 
+    /// Connects to the target unless there is an idle connection to it, and keeps the connection
+    /// for the next request.
+    ///
+    /// # Errors
+    ///
+    /// Always with [`Verdict::NotRun`], since nothing was sent.
+    pub async fn connect(&self, target: Target, options: Options) -> Result<(), Failure> {
+        if self.idle.lock().has_ready(target.address) {
+            return Ok(());
+        }
+        let connection = Connection::open(target, options.connect_timeout).await?;
+        let connection = connection.with_id_header(self.id_header.clone());
+        self.push_idle(connection, options.max_idle);
+        Ok(())
+    }
+
     fn answer(
         self: &Arc<Self>,
         connection: Connection,
@@ -262,9 +305,9 @@
         let mut table = self.idle.lock();
         let index = table.find(address).ok()?;
         let idle = &mut table.entries[index].1;
-        while let Some(Idle { connection, since }) = idle.pop() {
-            if since.elapsed() < IDLE_TIMEOUT && connection.is_ready() {
-                return Some(connection);
+        while let Some(idle) = idle.pop() {
+            if idle.is_ready() {
+                return Some(idle.connection);
             }
         }
         None
@@ -294,6 +337,11 @@
         self.entries.binary_search_by_key(&address, |entry| entry.0)
     }
 
+    fn has_ready(&self, address: SocketAddr) -> bool {
+        self.find(address)
+            .is_ok_and(|index| self.entries[index].1.iter().any(Idle::is_ready))
+    }
+
     /// Closes expired connections to all endpoints, removed endpoints included.
     fn sweep(&mut self, now: Instant) {
         if self
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod quota;
 pub mod refusal;
 pub mod request;
+mod retry;
 pub mod rollout;
 mod states;
 pub mod stream;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -26,10 +26,7 @@
 use policy::{
     belief::Millis,
     load::Estimate,
-    retry_share::{
-        Allowance,
-        Budget, //
-    },
+    retry_share::Budget,
     rewrite::{
         self,
         Writer, //
@@ -39,8 +36,7 @@
     belief,
     clock,
     health,
-    lease::Lease,
-    sorted, //
+    lease::Lease, //
 };
 use telemetry::{
     emit,
@@ -168,7 +164,7 @@
     /// # Invariants
     ///
     /// Sorted by service.
-    retry_budgets: Mutex<Vec<(Arc<str>, Budget)>>,
+    pub(crate) retry_budgets: Mutex<Vec<(Arc<str>, Budget)>>,
     /// What the answers of each service have shown.
     pub observed: observed::Table,
     /// Rank of this instance among the hubs; [`NO_HUB`] if it is not a hub.
@@ -451,30 +447,6 @@
         self.members.others(&self.config.name, clock::now()).len() + 1
     }
 
-    /// Credits the retry budget of a service for the first attempt of a request.
-    pub fn record_first_attempt(&self, service: &Arc<str>) {
-        let allowance = self.allowance();
-        self.with_budget(service, |budget| budget.earn(allowance));
-    }
-
-    /// Charges one retry to the retry budget of a service; returns `false` if none is left.
-    pub fn try_charge_retry(&self, service: &Arc<str>) -> bool {
-        let allowance = self.allowance();
-        let instances = self.instance_count();
-        self.with_budget(service, |budget| budget.spend(allowance, instances))
-    }
-
-    fn allowance(&self) -> Allowance {
-        Allowance {
-            ratio: self.config.bounds.retry_ratio,
-            slack: self.config.bounds.retry_slack,
-        }
-    }
-
-    fn with_budget<T>(&self, service: &Arc<str>, change: impl FnOnce(&mut Budget) -> T) -> T {
-        change(sorted::entry(&mut self.retry_budgets.lock(), service))
-    }
-
     /// State for an instance that starts.
     pub fn export(&self) -> State {
         State {
