A stream goes on only at the incarnation of an engine that its row names

An engine that starts again under its name with another build was taken for the old one until its newer row arrived, or for as long as an instance saw neither the table nor a hub: a stream could be joined from two builds.

Before a stream goes on at an engine, the engine is now asked for its incarnation. If it states another one, nothing is sent to it; if it states none, only an instance that sees the table trusts the row. The report stays on the connection that the request then uses, unless another request is quicker.

Ruled out: asking only while the instance is out of touch. The engine may start again within the 1.1 s in which a view counts as fresh (the test still failed).

Not covered: a stream that begins at such an engine before the newer row arrives is recorded with the older build.

--- a/crates/endpoint/src/verdict.rs
+++ b/crates/endpoint/src/verdict.rs
@@ -95,6 +95,9 @@
         /// Id in the answer, if any.
         got: Option<String>,
     },
+    /// The endpoint has started again since it wrote its row, or does not say that it has not.
+    #[error("it may have started again")]
+    OtherIncarnation,
     /// A token is missing from the stream.
     #[error("token {got} after token {expected} was expected")]
     Gap {
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -25,6 +25,7 @@
         self,
         Selection, //
     },
+    incarnation,
     node::Node,
     protocol::{
         Attempt,
@@ -237,6 +238,9 @@
             last_event,
         };
         let request = call.build_request::<P>(target, &attempt)?;
+        if last_event.is_some() {
+            incarnation::check(node, &selection.endpoint, options(node, call)).await?;
+        }
         let sent_at = node.beliefs.now();
         let answer = tokio::select! {
             answer = node.pool.send(target, request, options(node, call)) => answer?,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod http;
+mod incarnation;
 pub mod instance;
 pub mod lease;
 pub mod limit;
--- a/crates/router/src/protocol.rs
+++ b/crates/router/src/protocol.rs
@@ -184,6 +184,8 @@
     pub loading: bool,
     /// Number of orders that the engine has accepted since it started.
     pub accepted: u64,
+    /// Its incarnation, if it names one, as in its row.
+    pub incarnation: Option<u64>,
 }
 
 /// A caller's lookup of instance addresses.
