Connections that the kernel has established are accepted at a stop

Callers that had connected and sent a whole request were reset when the instance stopped to accept connections: it took the accept queue for empty if the runtime had not polled the listener since they came, and closed the listener. The listener itself is now asked until it has none left.

--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -13,7 +13,6 @@
 };
 
 use bytes::Bytes;
-use futures::FutureExt;
 use http::{
     HeaderValue,
     Request,
@@ -191,16 +190,28 @@
             }
         }
     }
-    // Closing the listener would reset connections that the kernel has already established.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    for stream in accept_established(listener) {
         spawn_connection(stream, service.clone(), &graceful);
     }
-    drop(listener);
     // Otherwise connections would be closed on which requests have arrived that are not read yet.
     tokio::time::sleep(LAST_READ_TIME).await;
     graceful.shutdown().await;
 }
 
+/// Closes the listener and returns the connections that the kernel has already established, which
+/// it would reset. The listener itself is asked, since the runtime may not have noticed them yet.
+fn accept_established(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let streams = accepted.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
+}
+
 fn spawn_connection<S: Service>(stream: TcpStream, service: Arc<S>, graceful: &GracefulShutdown) {
     // Failing to set the option costs only latency.
     stream.set_nodelay(true).ok();
