Log only an excerpt of what another writer has left in a row

The reason why a row or an answer cannot be read may quote its content, and a row may hold 64 KiB: each instance then logged a line of that size for each such row, at each read. Reasons are now cut to 200 bytes where they are displayed, for rows of endpoints, operators and instances and for answers of the store.

--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -73,6 +73,7 @@
     peer,
     planner,
     protocol::{
+        Invalid,
         OperatorRow,
         Protocol,
         Statement, //
@@ -427,7 +428,7 @@
             Some(Ok(row)) => Some(row),
             None => None,
             Some(Err(reason)) => {
-                emit!(warn, event::INSTANCE_UNREADABLE, row = change.key, reason = %reason);
+                emit!(warn, event::INSTANCE_UNREADABLE, row = change.key, reason = %Invalid::from(reason));
                 None
             }
         };
--- a/crates/router/src/protocol.rs
+++ b/crates/router/src/protocol.rs
@@ -32,12 +32,27 @@
     fleet::Registration, //
 };
 
-/// A message that violates the protocol, with the reason as text.
+/// Longest excerpt, in bytes.
+const MAX_EXCERPT_BYTES: usize = 200;
+
+/// A message that violates the protocol, with the reason as text. Reasons may quote what others have
+/// written, so only an excerpt is displayed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Error)]
-#[error("{0}")]
+#[error("{}", excerpt(.0))]
 pub struct Invalid(pub String);
 
+impl From<serde_json::Error> for Invalid {
+    fn from(error: serde_json::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+/// The start of a text that others have written, for logs.
+pub fn excerpt(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_EXCERPT_BYTES)]
+}
+
 /// One segment of a prompt, which other prompts may share.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Segment {
--- a/crates/router/src/quarantine/rows.rs
+++ b/crates/router/src/quarantine/rows.rs
@@ -48,7 +48,10 @@
 use crate::{
     QUARANTINE,
     node::Node,
-    protocol::Protocol, //
+    protocol::{
+        Invalid,
+        Protocol, //
+    }, //
 };
 
 /// Interval at which writes that failed are repeated.
@@ -115,7 +118,7 @@
     let row = match change.value.as_deref().map(serde_json::from_slice::<Row>) {
         Some(Ok(row)) => row,
         Some(Err(reason)) => {
-            emit!(warn, event::INSTANCE_UNREADABLE, row = change.key, reason = %reason);
+            emit!(warn, event::INSTANCE_UNREADABLE, row = change.key, reason = %Invalid::from(reason));
             return;
         }
         None => {
--- a/crates/router/src/rollout.rs
+++ b/crates/router/src/rollout.rs
@@ -53,7 +53,10 @@
         Sighting, //
     },
     node::Node,
-    protocol::Protocol,
+    protocol::{
+        Invalid,
+        Protocol, //
+    },
     stream::millis,
     weights::Rollout, //
 };
@@ -93,7 +96,7 @@
     let progress: Progress = match serde_json::from_slice(value) {
         Ok(progress) => progress,
         Err(reason) => {
-            emit!(warn, event::INSTANCE_UNREADABLE, row = change.key, reason = %reason);
+            emit!(warn, event::INSTANCE_UNREADABLE, row = change.key, reason = %Invalid::from(reason));
             return;
         }
     };
