Forget weights that only an odd row of an engine named

An engine's row that names, once, a version of weights beyond its own, as another writer may leave it, took the engine out of service until it started again: the version that an engine is known to serve only ever rises, so that all later requests expected a version that it does not have, and it rejected each of them.

Engines do not go back to older weights within an incarnation, so a row with an older version than the row before, in the same era of the table, shows that the earlier one was wrong: what is known of the engine's weights begins anew.

path::odd_rows::an_odd_version_of_weights_is_forgotten_with_the_next_sound_row failed before, with no stream served within 60 s.

--- a/crates/router/src/endpoints/registry.rs
+++ b/crates/router/src/endpoints/registry.rs
@@ -161,7 +161,15 @@
         match self.find(key) {
             Ok(index) => {
                 let entry = &mut self.entries[index];
-                entry.endpoint = Arc::new(entry.endpoint.with_registration(registration));
+                let known = &entry.endpoint;
+                // A row of a restored table may be older than what is known.
+                let is_corrected =
+                    entry.era == era && registration.has_older_weights(&known.registration);
+                entry.endpoint = Arc::new(if is_corrected {
+                    Endpoint::new(registration)
+                } else {
+                    known.with_registration(registration)
+                });
                 entry.era = era;
             }
             Err(index) => {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -42,6 +42,15 @@
     pub fn position(&self) -> (u64, u64) {
         (self.incarnation, self.sequence)
     }
+
+    /// Whether the endpoint has older weights than in an earlier registration. Endpoints never go
+    /// back to older weights, so that the earlier one was wrong.
+    pub fn has_older_weights(&self, earlier: &Self) -> bool {
+        let weights = self.weights.first().zip(earlier.weights.first());
+        weights.is_some_and(|((model, version), (earlier_model, earlier_version))| {
+            model == earlier_model && version < earlier_version
+        })
+    }
 }
 
 /// State of an endpoint that outlasts a new registration of the same incarnation.
