Count prompts up to what an engine can hold

A caller could state any number of tokens for the segments of its prompt. The planner counted them as work: while a few such requests waited at the engines, all other requests of the service were refused with a Retry-After of up to 4.3e9 s, which also stayed for the callers refused later, and the time of a request that was placed could exceed what a duration can express, which ends its task in a panic.

An engine rejects a prompt at once that is larger than its cache, so that its work is counted only up to that size, by instances and again by planners for what other instances state; expected times are at most an hour and never negative.

--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -5,6 +5,8 @@
 //! behind another one is timed from the start of that one's answer, which includes the base
 //! already. The coefficients are fitted by least squares, in which old samples lose weight.
 
+use std::time::Duration;
+
 /// Number of coefficients.
 const COUNT: usize = 3;
 /// Factor by which the weight of all earlier samples shrinks with each new one: about two hundred
@@ -27,6 +29,16 @@
 /// Time that a fetch takes besides the transfer, in seconds: round trips within a region.
 const FETCH_SETUP_SECONDS: f32 = 0.002;
 
+/// Longest expected time.
+const MAX_EXPECTATION: Duration = Duration::from_secs(3_600);
+
+/// Converts an expected time in seconds to a duration; at most an hour, and zero if it is negative or
+/// not a number.
+pub fn expectation(seconds: f32) -> Duration {
+    let capped = seconds.max(0.0).min(MAX_EXPECTATION.as_secs_f32());
+    Duration::from_secs_f32(capped)
+}
+
 /// Whether fetching `blocks` is faster than computing them, if an engine computes one in
 /// `block_seconds` and fetches it in `fetch_cost` of that time.
 pub fn is_fetch_faster(blocks: f32, block_seconds: f32, fetch_cost: f32) -> bool {
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -11,6 +11,9 @@
 /// Tokens in one block, the unit of prompt lengths and of the work that engines have.
 pub const BLOCK_TOKENS: u64 = 2048;
 
+/// Longest prompt that is counted, in tokens; callers may state any number.
+pub const MAX_PROMPT_TOKENS: u64 = 1 << 22;
+
 /// Cache isolation key: blocks are shared only between prompts with the same root.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Root<'a> {
@@ -105,6 +108,17 @@
         chain
     }
 
+    /// Shortens the prompt to at most `blocks`; the hashes stay.
+    pub fn truncate(&mut self, blocks: f32) {
+        let mut left = blocks;
+        let lengths = self.levels.iter_mut().map(|level| &mut level.blocks);
+        for length in lengths.chain([&mut self.tail]) {
+            // A length that is not a number counts as none.
+            *length = length.clamp(0.0, left).max(0.0);
+            left -= *length;
+        }
+    }
+
     /// Hashes of the levels, shallowest first.
     pub fn hashes(&self) -> Vec<u64> {
         self.levels.iter().map(|level| level.hash).collect()
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -6,6 +6,10 @@
     time::Duration, //
 };
 
+use policy::prefix::{
+    BLOCK_TOKENS,
+    MAX_PROMPT_TOKENS, //
+};
 use settings::Digest;
 
 /// Whether a request is retried when the outcome of an attempt is unknown.
@@ -229,6 +233,18 @@
     }
 }
 
+impl Service {
+    /// Longest prompt that an endpoint can run, in blocks; engines reject longer ones at once.
+    pub fn max_prompt_blocks(&self) -> f32 {
+        let tokens = self.engine.map_or(0, |engine| engine.cache_tokens);
+        let tokens = match tokens {
+            0 => MAX_PROMPT_TOKENS,
+            _ => tokens.min(MAX_PROMPT_TOKENS),
+        };
+        tokens as f32 / BLOCK_TOKENS as f32
+    }
+}
+
 impl Route {
     /// Picks a service by weight; `random` may be any number.
     pub fn service(&self, random: u64) -> &Arc<str> {
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -16,6 +16,7 @@
 };
 use policy::{
     belief::Holder,
+    pace,
     weights, //
 };
 use settings::Class;
@@ -172,7 +173,7 @@
         age_ms = millis(call.arrived_at.elapsed()),
     );
     let pace = node.planner.queues.pace(&call.service);
-    let wait = Duration::from_secs_f32(reasons.wait * pace.block);
+    let wait = pace::expectation(reasons.wait * pace.block);
     node.metrics
         .record_placement(&call.service, reasons.hits, reasons.missed, wait);
     let now = node.beliefs.now();
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -24,7 +24,10 @@
 
 use parking_lot::Mutex;
 use policy::{
-    pace::Pace,
+    pace::{
+        self,
+        Pace, //
+    },
     prefix::{
         BLOCK_TOKENS,
         Chain,
@@ -257,8 +260,8 @@
         wait,
         ..
     } = decision.reasons;
-    let own_delay = Duration::from_secs_f32(pace.service_seconds(missed, fetched));
-    let wait = Duration::from_secs_f32(wait * pace.block);
+    let own_delay = pace::expectation(pace.service_seconds(missed, fetched));
+    let wait = pace::expectation(wait * pace.block);
     let retry_after = shed::retry_after(wait, own_delay, query.objective);
     if let Some(delay) = retry_after.filter(|_| !must_place) {
         let engines = node.endpoints.fleet().of_service(query.service).len();
@@ -405,12 +408,13 @@
     let catalog = node.catalog.load_full()?;
     let service = catalog.service(&request.service)?;
     let levels = request.levels.iter();
-    let chain = Chain {
+    let mut chain = Chain {
         levels: levels
             .map(|&(hash, blocks)| Level { hash, blocks })
             .collect(),
         tail: request.tail,
     };
+    chain.truncate(service.max_prompt_blocks());
     let pace = request.pace.and_then(Pace::from_coefficients);
     if let Some(pace) = pace {
         node.planner.queues.suggest_pace(&service.name, pace);
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -162,7 +162,11 @@
             };
         }
         let segments = self.head.segments.iter().map(|s| (s.id, s.tokens));
-        Chain::from_segments(self.cache_salt(0), segments)
+        let mut chain = Chain::from_segments(self.cache_salt(0), segments);
+        if let Some(service) = self.catalog.service(&self.service) {
+            chain.truncate(service.max_prompt_blocks());
+        }
+        chain
     }
 
     /// Ids of the segments that other requests may share: all but the last, which belongs to the
