--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -68,6 +68,8 @@
     HUBS_HEARD = 213;
     /// The table was restored from an older copy; rows that were acknowledged in the era before may be gone.
     TABLE_RESTORED = 214;
+    /// A row of the table is not encoded as rows are; it counts as a row that cannot be parsed, or is skipped if its key or revision cannot be read.
+    ROW_UNREADABLE = 215;
     /// The instance list did not answer; the last known members stay in use.
     INSTANCES_FAULT = 300;
     /// A peer could not be reached or closed the connection.
