Refuse settings that are zero, enormous or negative where sums would fail

Times of any length were accepted from the settings file, as were a window of 0 s for limits, which divides by zero so that all requests with a limit are refused, and bandwidths below 0. They are now refused at the start with the name of the field, as other settings are.

crates/router/tests/odd_settings.rs failed before. Found by reading; no deployment is known to have such settings.

--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -26,6 +26,11 @@
 /// Default of `weights_all_ms`, as a multiple of `weights_ms`.
 const DEFAULT_WEIGHTS_ALL_RATIO: f64 = 1.5;
 
+/// Longest time that may be set.
+const MAX_TIME: Duration = Duration::from_secs(30 * 24 * 60 * 60);
+/// Largest ratio, number of units or bandwidth that may be set.
+const MAX_NUMBER: f64 = 1e12;
+
 /// Settings of one instance.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -168,14 +173,37 @@
         if self.name.is_empty() {
             bail!("name is empty; give each instance a name of its own");
         }
-        if self.bounds.lease.is_zero() {
-            bail!("bounds.lease_ms is 0; use 1 or more");
+        let bounds = &self.bounds;
+        for (name, time) in [
+            ("stop_s", bounds.stop),
+            ("lease_ms", bounds.lease),
+            ("weights_ms", bounds.weights),
+            ("weights_all_ms", bounds.weights_all()),
+            ("quota_window_s", bounds.quota_window),
+            ("address_ttl_s", bounds.address_ttl),
+        ] {
+            if time > MAX_TIME {
+                bail!("bounds.{name} is longer than {MAX_TIME:?}; use a shorter time");
+            }
         }
-        if self.bounds.retry_ratio < 0.0 || self.bounds.retry_slack < 0.0 {
-            bail!("bounds.retry_ratio and bounds.retry_slack must not be negative");
+        for (name, time) in [
+            ("lease_ms", bounds.lease),
+            ("quota_window_s", bounds.quota_window),
+        ] {
+            if time.is_zero() {
+                bail!("bounds.{name} is 0; use 1 or more");
+            }
         }
-        if self.bounds.quota_over < 0.0 || self.bounds.quota_slack < 0.0 {
-            bail!("bounds.quota_over and bounds.quota_slack must not be negative");
+        for (name, number) in [
+            ("bounds.retry_ratio", bounds.retry_ratio),
+            ("bounds.retry_slack", bounds.retry_slack),
+            ("bounds.quota_over", bounds.quota_over),
+            ("bounds.quota_slack", bounds.quota_slack),
+            ("link_mbps", self.link_mbps),
+        ] {
+            if !(0.0..=MAX_NUMBER).contains(&number) {
+                bail!("{name} must be from 0 to {MAX_NUMBER}");
+            }
         }
         Ok(())
     }
