Compute shares of slots without an overflow

The slots of an endpoint are a number of the settings document that may be as large as 2^32 - 1. From 61,356,676 on, 70 % of them were computed beyond that bound: a debug build panics, and a release build wraps, so that requests that may wait got any smaller share.

tests/odd_values.rs of policy, any_number_of_slots_gives_a_limit, failed before.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -30,21 +30,22 @@
     /// reserve, so that all instances together leave the reserve free. The other classes
     /// may use all slots from any instance; the endpoints' own queues honour priorities.
     pub fn may_start(&self, class: usize) -> bool {
-        let running: u32 = self.running.iter().sum();
-        running < self.limit(class)
+        let running: u64 = self.running.iter().map(|count| u64::from(*count)).sum();
+        running < u64::from(self.limit(class))
     }
 
     fn limit(&self, class: usize) -> u32 {
         if class < MAY_WAIT {
             return self.slots.max(1);
         }
-        let unreserved = self.slots * (100 - RESERVE_PERCENT) / 100;
-        (unreserved / self.instances.max(1)).max(1)
+        let unreserved = u64::from(self.slots) * u64::from(100 - RESERVE_PERCENT) / 100;
+        let share = unreserved / u64::from(self.instances.max(1));
+        u32::try_from(share).unwrap_or(u32::MAX).max(1)
     }
 
     /// Expected time until a request of `class` starts behind `ahead` others.
     pub fn wait(&self, class: usize, ahead: usize, mean_duration: Duration) -> Duration {
-        let requests = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        let requests = u32::try_from(ahead.saturating_add(1)).unwrap_or(u32::MAX);
         mean_duration.saturating_mul(requests) / self.limit(class)
     }
 }
@@ -54,5 +55,6 @@
     if old.is_zero() {
         return newest;
     }
-    (old * (8 - NEWEST_EIGHTHS) + newest * NEWEST_EIGHTHS) / 8
+    let old = old.saturating_mul(8 - NEWEST_EIGHTHS);
+    old.saturating_add(newest.saturating_mul(NEWEST_EIGHTHS)) / 8
 }
--- a/crates/policy/tests/odd_values.rs
+++ b/crates/policy/tests/odd_values.rs
@@ -4,6 +4,14 @@
 use std::time::Duration;
 
 use policy::{
+    admission::{
+        Capacity,
+        average_duration, //
+    },
+    fair::{
+        CLASSES,
+        MAY_WAIT, //
+    },
     pace::expectation,
     prefix::{
         Chain,
@@ -74,3 +82,33 @@
         chain.total_blocks() <= 100.0
     }
 }
+
+/// Numbers of slots come from outside; in a release build an overflow would wrap.
+#[test]
+fn any_number_of_slots_gives_a_limit() {
+    for slots in [0, 1, 2, 61_356_676, u32::MAX / 70 + 1, u32::MAX] {
+        for instances in [0, 1, u32::MAX] {
+            for running in [[0; CLASSES], [1; CLASSES], [u32::MAX; CLASSES]] {
+                let capacity = Capacity {
+                    slots,
+                    instances,
+                    running,
+                };
+                let idle = running == [0; CLASSES];
+                assert_eq!(capacity.may_start(MAY_WAIT), idle || is_below(&capacity));
+                let wait = capacity.wait(MAY_WAIT, usize::MAX, Duration::MAX);
+                assert!(wait >= capacity.wait(MAY_WAIT, 0, Duration::from_secs(1)));
+            }
+        }
+    }
+    assert!(average_duration(Duration::MAX, Duration::MAX) >= Duration::MAX / 8);
+    let average = average_duration(Duration::from_secs(8), Duration::from_secs(16));
+    assert_eq!(average, Duration::from_secs(9));
+}
+
+/// Whether fewer requests run than this instance's share of 70 % of the slots.
+fn is_below(capacity: &Capacity) -> bool {
+    let running: u64 = capacity.running.iter().map(|count| u64::from(*count)).sum();
+    let share = u64::from(capacity.slots) * 70 / 100 / u64::from(capacity.instances.max(1));
+    running < share.max(1)
+}
