Decode each group of the instance list on its own

One group with a port out of range, a label that is no text, or any other odd content made the whole list of instances and endpoints unreadable to damaskd, again at each read: it kept the last members and learned neither of new ones nor of endpoints that leave. An instance that started knew no others.

Each group is now decoded on its own, and the reason for the first odd one is logged as INSTANCE_UNREADABLE.

--- a/crates/damaskd/src/peer/listing.rs
+++ b/crates/damaskd/src/peer/listing.rs
@@ -29,7 +29,12 @@
 pub async fn run(node: Arc<Node>) {
     loop {
         match node.instances.list().await {
-            Ok(entries) => record(&node, &entries),
+            Ok(list) => {
+                if let Some(reason) = list.unreadable {
+                    emit!(warn, event::INSTANCE_UNREADABLE, reason);
+                }
+                record(&node, &list.entries);
+            }
             Err(fault) => emit!(warn, event::INSTANCES_FAULT, reason = %fault),
         }
         let interval = match node.members.listings().is_empty() {
--- a/crates/platform/src/instances.rs
+++ b/crates/platform/src/instances.rs
@@ -15,6 +15,7 @@
     Deserialize,
     Serialize, //
 };
+use serde_json::value::RawValue;
 
 use crate::http::{
     Client,
@@ -61,7 +62,43 @@
     /// # Errors
     ///
     /// Any [`Fault`].
-    fn list(&self) -> impl Future<Output = Result<Vec<Entry>, Fault>> + Send;
+    fn list(&self) -> impl Future<Output = Result<List, Fault>> + Send;
+}
+
+/// The whole list.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct List {
+    /// Entries of all groups that can be read.
+    pub entries: Vec<Entry>,
+    /// Why the first of the other groups cannot be read; `None` if there is none.
+    pub unreadable: Option<String>,
+}
+
+/// Longest reason why a group cannot be read, in bytes. Reasons may quote the group.
+const MAX_REASON_BYTES: usize = 200;
+
+impl List {
+    /// Decodes a list, each group on its own, so that an odd one does not fail the others.
+    ///
+    /// # Errors
+    ///
+    /// If the text is no JSON array.
+    pub fn decode(text: &[u8]) -> serde_json::Result<Self> {
+        let groups: Vec<&RawValue> = serde_json::from_slice(text)?;
+        let mut list = Self::default();
+        for group in groups {
+            match serde_json::from_str(group.get()) {
+                Ok(group) => list.entries.extend(parse_entry(group)),
+                Err(error) if list.unreadable.is_none() => {
+                    let mut reason = error.to_string();
+                    reason.truncate(reason.floor_char_boundary(MAX_REASON_BYTES));
+                    list.unreadable = Some(reason);
+                }
+                Err(_) => {}
+            }
+        }
+        Ok(list)
+    }
 }
 
 /// The instance list behind an HTTP address.
@@ -79,17 +116,15 @@
 }
 
 impl Instances for Remote {
-    async fn list(&self) -> Result<Vec<Entry>, Fault> {
+    async fn list(&self) -> Result<List, Fault> {
         let answer = self
             .client
             .call(Method::GET, self.address, "/instances", Bytes::new())
             .await?;
-        let groups: Vec<Group> =
-            serde_json::from_slice(&answer.body).map_err(|error| Fault::Lost {
-                address: self.address,
-                reason: format!("unreadable list: {error}"),
-            })?;
-        Ok(groups.into_iter().filter_map(parse_entry).collect())
+        List::decode(&answer.body).map_err(|error| Fault::Lost {
+            address: self.address,
+            reason: format!("unreadable list: {error}"),
+        })
     }
 }
 
