--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -201,7 +201,7 @@
     let urgent = call.class() == Class::Urgent;
     let charged = quota::charge(node, workspace, units, urgent).await;
     charged.map_err(|exceeded| {
-        let (rate, burst) = workspace.limit.map_or((0, 0), |l| (l.rate, l.burst));
+        let (rate, burst) = workspace.limit.map_or((0.0, 0.0), |l| (l.rate, l.burst));
         let (name, decided_by) = (&workspace.name, exceeded.decided_by);
         let message = format!(
             "workspace {name} has used its {rate} units a second and its burst of {burst}, \
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -59,12 +59,12 @@
 }
 
 /// Rate limit of a workspace, over all instances together.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// Units per second.
-    pub rate: u64,
+    pub rate: f64,
     /// Units that may be used at once beyond the rate.
-    pub burst: u64,
+    pub burst: f64,
 }
 
 /// Unit in which the limit of a workspace is counted.
@@ -80,7 +80,7 @@
 }
 
 /// A workspace: a customer whose requests are identified by its keys.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Workspace {
     /// Name, as passed to endpoints.
     pub name: Arc<str>,
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -193,7 +193,7 @@
         now: Duration,
     ) -> Result<(), Duration> {
         let instances = node.instance_count();
-        let (rate, burst) = (limit.rate as f64, limit.burst as f64);
+        let (rate, burst) = (limit.rate, limit.burst);
         let whole = full_share(node, limit);
         let hub_saw_table_at = node.exchange.hub_saw_table_at();
         self.with_entry(workspace, now, |entry| {
@@ -400,7 +400,7 @@
 
 /// The limit of a workspace, as its owner enforces it, less the parts of silent instances.
 fn full_share<P: Protocol>(node: &Node<P>, limit: Limit) -> Share {
-    let whole = Share::whole(limit.rate as f64, limit.burst as f64, tolerance(node));
+    let whole = Share::whole(limit.rate, limit.burst, tolerance(node));
     let fraction = node.members.heard_fraction(&node.config.name, clock::now());
     whole.scaled(fraction)
 }
