All connections in the accept queue are served before a stop

Callers got a reset connection and no answer when an instance stopped to accept connections while more than 127 of them waited, as after it was held up: it took the first of them and closed the listener, which resets the rest. tokio's accept returns nothing once a task has taken 128 in a row, and before the next event of the listener.

The queue is now emptied through the listener itself, until the kernel has no more.

--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -13,7 +13,6 @@
 };
 
 use bytes::Bytes;
-use futures::FutureExt;
 use http::{
     HeaderValue,
     Request,
@@ -191,16 +190,26 @@
             }
         }
     }
-    // Closing the listener would reset connections that the kernel has already established.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    for stream in take_queue(listener) {
         spawn_connection(stream, service.clone(), &graceful);
     }
-    drop(listener);
     // Otherwise connections would be closed on which requests have arrived that are not read yet.
     tokio::time::sleep(LAST_READ_TIME).await;
     graceful.shutdown().await;
 }
 
+/// Closes the listener and takes the connections that the kernel has already established, which
+/// would be reset otherwise. tokio would leave some: it looks for none before the next event, and
+/// yields after a number of them.
+fn take_queue(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || {
+        let (stream, _) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
 fn spawn_connection<S: Service>(stream: TcpStream, service: Arc<S>, graceful: &GracefulShutdown) {
     // Failing to set the option costs only latency.
     stream.set_nodelay(true).ok();
