A raised limit for idle connections holds for kept ones

Callers found connections closed that they may use again: a change of the configuration had raised the limit for idle connections, but hyper keeps the timeout with which a connection began. A request that was sent just then got no answer. Connections accepted before the first configuration had the default of 15 s for good.

The timer of a connection now asks for the present limit when the first one has passed, and goes on if there is time left.

--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -1,5 +1,7 @@
 //! Response bodies and the HTTP server that all planes share.
 
+mod idle;
+
 use std::{
     convert::Infallible,
     future::Future,
@@ -31,10 +33,7 @@
     service::service_fn, //
 };
 use hyper_util::{
-    rt::{
-        TokioIo,
-        TokioTimer, //
-    },
+    rt::TokioIo,
     server::graceful::GracefulShutdown, //
 };
 use telemetry::{
@@ -214,6 +213,7 @@
     // Failing to set the option costs only latency.
     stream.set_nodelay(true).ok();
     let head_timeout = service.head_timeout();
+    let timer = idle::Timer(service.clone());
     let answer = service_fn(move |request| {
         let service = service.clone();
         async move {
@@ -226,7 +226,7 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(timer)
         .header_read_timeout(head_timeout)
         .serve_connection(TokioIo::new(stream), answer);
     let connection = graceful.watch(connection);
