Heads that arrived while an instance was held up are read

Callers whose requests had arrived whole, within four fifths of the limit for idle connections, got a closed connection and no answer from an instance that was held up while the limit passed. A wait for events that a stop interrupts returns none after the process goes on (epoll_wait: EINTR), so that the timers of idle connections ended before it was seen that they could be read.

--- a/crates/router/src/http/idle.rs
+++ b/crates/router/src/http/idle.rs
@@ -17,7 +17,10 @@
 
 use hyper::rt;
 
-use super::Service;
+use super::{
+    LAST_READ_TIME,
+    Service, //
+};
 
 /// Timer of a connection, for the timeout of the next head.
 ///
@@ -41,6 +44,7 @@
             service: self.0.clone(),
             began_at: Instant::now(),
             sleep: Box::pin(tokio::time::sleep_until(deadline.into())),
+            is_last_read: false,
         })
     }
 }
@@ -50,6 +54,9 @@
     service: Arc<S>,
     began_at: Instant,
     sleep: Pin<Box<tokio::time::Sleep>>,
+    /// Whether the deadline has passed, and only a head that has arrived is waited for. An instance
+    /// that was held up may see the end of its timers before what arrived in the meantime.
+    is_last_read: bool,
 }
 
 impl<S: Service> rt::Sleep for Wait<S> {}
@@ -61,10 +68,15 @@
         let this = self.get_mut();
         loop {
             ready!(this.sleep.as_mut().poll(cx));
-            let deadline = this.began_at + this.service.head_timeout();
-            if deadline <= Instant::now() {
+            if this.is_last_read {
                 return Poll::Ready(());
             }
+            let now = Instant::now();
+            let mut deadline = this.began_at + this.service.head_timeout();
+            if deadline <= now {
+                this.is_last_read = true;
+                deadline = now + LAST_READ_TIME;
+            }
             this.sleep.as_mut().reset(deadline.into());
         }
     }
