Refused bodies far beyond a lowered limit are read on

Callers got neither an answer nor a refusal for a body of more than about twice a limit that a change of the configuration had lowered: the rest of a body that is too large was read on up to the new limit only, and the connection was closed while they were still sending.

At least 32 MiB are now read on, within the same 5 s.

--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -54,6 +54,9 @@
 
 /// Time in which the body of a refused request is read on.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes up to which it is read on in any case: a change of the configuration may lower the limit by
+/// far while callers send bodies that the former one allowed.
+const MIN_DISCARD_BYTES: usize = 32 << 20;
 
 /// A request that may be sent to an endpoint, with the charge to the quota of its workspace.
 #[derive(Debug)]
@@ -148,7 +151,8 @@
 /// closed meanwhile.
 pub fn discard<P: Protocol>(node: &Node<P>, mut body: Incoming) {
     let limits = node.catalog.load().as_ref().map(|c| c.limits);
-    let mut bytes_left = limits.unwrap_or_default().max_body_bytes;
+    let max_body_bytes = limits.unwrap_or_default().max_body_bytes;
+    let mut bytes_left = max_body_bytes.max(MIN_DISCARD_BYTES);
     let discarded = async move {
         while let Some(Ok(frame)) = body.frame().await {
             let length = frame.data_ref().map_or(0, Bytes::len);
