The caller plane of damaskd reads on bodies that it refuses

Callers of damaskd got neither an answer nor a refusal for requests that were refused before their body had arrived, as with a key that is not in force: the connection was closed while they were still sending.

The plane now keeps the body while the request is served and reads the rest on after a refusal, as the router does; both share the code.

--- a/crates/damaskd/src/caller/body.rs
+++ b/crates/damaskd/src/caller/body.rs
@@ -19,7 +19,7 @@
 /// # Errors
 ///
 /// If the body is too large, does not arrive in time, or is cut off.
-pub async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
+pub async fn read(body: &mut Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
     let collected = Limited::new(body, limits.max_body_bytes).collect();
     match tokio::time::timeout(limits.body_timeout, collected).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/damaskd/src/caller/discovery.rs
+++ b/crates/damaskd/src/caller/discovery.rs
@@ -5,7 +5,6 @@
     Response,
     StatusCode, //
 };
-use hyper::body::Incoming;
 use policy::rank::{
     Candidate,
     rank, //
@@ -47,7 +46,7 @@
 }
 
 /// Ranks the instances for the caller's workspace; callers without a valid key share one ranking.
-pub fn instances(node: &Node, call: &Call, request: &Request<Incoming>) -> Response<Body> {
+pub fn instances<B>(node: &Node, call: &Call, request: &Request<B>) -> Response<Body> {
     let caller = key::identify(request.headers(), call.snapshot()).ok();
     let workspace = caller.as_ref().map_or("", |caller| &*caller.workspace);
     let members = listed_members(node);
@@ -93,7 +92,7 @@
 /// # Errors
 ///
 /// If the key is unknown or withdrawn, or if there are several `Authorization` headers.
-pub fn models(call: &Call, request: &Request<Incoming>) -> Result<Response<Body>, Refusal> {
+pub fn models<B>(call: &Call, request: &Request<B>) -> Result<Response<Body>, Refusal> {
     let caller = match key::identify(request.headers(), call.snapshot()) {
         Ok(caller) => Some(caller),
         Err(refusal) if refusal.code == Code::KeyMissing => None,
--- a/crates/damaskd/src/caller/mod.rs
+++ b/crates/damaskd/src/caller/mod.rs
@@ -55,7 +55,8 @@
 use crate::{
     http::{
         Body,
-        Service, //
+        Service,
+        discard, //
     },
     node::Node, //
 };
@@ -102,7 +103,7 @@
     async fn route(
         &self,
         call: &Call,
-        request: Request<Incoming>,
+        request: Request<&mut Incoming>,
     ) -> Result<Response<Body>, Refusal> {
         if request.headers().get_all(header::HOST).iter().count() != 1 {
             let message = "send exactly one Host header, as RFC 9112 requires";
@@ -147,9 +148,14 @@
             settings: self.node.settings.load(),
             key_digest: key::digest(request.headers()),
         };
+        let (parts, mut body) = request.into_parts();
+        let request = Request::from_parts(parts, &mut body);
         match self.route(&call, request).await {
             Ok(response) => response,
-            Err(refusal) => self.refuse(&call, &refusal),
+            Err(refusal) => {
+                discard(body, self.node.config.limits.max_body_bytes);
+                self.refuse(&call, &refusal)
+            }
         }
     }
 
--- a/crates/damaskd/src/caller/model.rs
+++ b/crates/damaskd/src/caller/model.rs
@@ -139,7 +139,7 @@
     node: &Arc<Node>,
     call: &Call,
     api: Api,
-    request: Request<Incoming>,
+    request: Request<&mut Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let caller = match key::identify(request.headers(), call.snapshot()) {
         Ok(caller) => Some(caller),
--- a/crates/damaskd/src/caller/plain.rs
+++ b/crates/damaskd/src/caller/plain.rs
@@ -86,7 +86,7 @@
 pub async fn answer(
     node: &Arc<Node>,
     call: &Call,
-    request: Request<Incoming>,
+    request: Request<&mut Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let (parts, body) = request.into_parts();
     let path = parts.uri.path();
--- a/crates/damaskd/tests/requests/main.rs
+++ b/crates/damaskd/tests/requests/main.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
 
 mod answer;
+mod body;
 mod claim;
 mod isolation;
 mod raw;
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -52,12 +52,6 @@
 /// Delay after which callers retry while no configuration is known; about the time of a restart.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Time in which the body of a refused request is read on.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Bytes up to which it is read on in any case: a change of the configuration may lower the limit by
-/// far while callers send bodies that the former one allowed.
-const MIN_DISCARD_BYTES: usize = 32 << 20;
-
 /// A request that may be sent to an endpoint, with the charge to the quota of its workspace.
 #[derive(Debug)]
 pub struct Admission {
@@ -146,23 +140,10 @@
     })
 }
 
-/// Reads on the body of a request that is refused while the body still arrives. The caller may read
-/// the refusal only after it has sent the body, and would not get it from a connection that was
-/// closed meanwhile.
-pub fn discard<P: Protocol>(node: &Node<P>, mut body: Incoming) {
+/// Reads on the body of a request that is refused while the body still arrives.
+pub fn discard<P: Protocol>(node: &Node<P>, body: Incoming) {
     let limits = node.catalog.load().as_ref().map(|c| c.limits);
-    let max_body_bytes = limits.unwrap_or_default().max_body_bytes;
-    let mut bytes_left = max_body_bytes.max(MIN_DISCARD_BYTES);
-    let discarded = async move {
-        while let Some(Ok(frame)) = body.frame().await {
-            let length = frame.data_ref().map_or(0, Bytes::len);
-            let Some(rest) = bytes_left.checked_sub(length) else {
-                return;
-            };
-            bytes_left = rest;
-        }
-    };
-    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, discarded));
+    crate::http::discard(body, limits.unwrap_or_default().max_body_bytes);
 }
 
 fn find_route(
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -22,7 +22,10 @@
     StatusCode,
     header, //
 };
-use http_body_util::Full;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
 use hyper::{
     body::{
         Body as HttpBody,
@@ -54,6 +57,12 @@
 /// Time in which requests that have arrived are read before idle connections are closed.
 const LAST_READ_TIME: Duration = Duration::from_millis(100);
 
+/// Time in which the body of a refused request is read on.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes up to which it is read on in any case: a change of the configuration may lower the limit by
+/// far while callers send bodies that the former one allowed.
+const MIN_DISCARD_BYTES: usize = 32 << 20;
+
 /// Reason why a streamed body ends incomplete; the connection is closed.
 #[derive(Clone, Debug)]
 #[derive(thiserror::Error)]
@@ -153,6 +162,23 @@
     response
 }
 
+/// Reads on the body of a request that is refused while the body still arrives. The caller may read
+/// the refusal only after it has sent the body, and would not get it from a connection that was
+/// closed meanwhile.
+pub fn discard(mut body: Incoming, max_body_bytes: usize) {
+    let mut bytes_left = max_body_bytes.max(MIN_DISCARD_BYTES);
+    let discarded = async move {
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = bytes_left.checked_sub(length) else {
+                return;
+            };
+            bytes_left = rest;
+        }
+    };
+    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, discarded));
+}
+
 /// Handler for the requests of one plane.
 pub trait Service: Send + Sync + 'static {
     /// Answers one request. Never fails: errors are responses too.
