A stream that has left a sound engine is not lost for the retries

The stream had left its engine with the last retry of the shared budget, or of its attempts, so that none was left for the rejection. Two further attempts are now allowed after a stream has left an endpoint that may still serve it; they are charged to the budget, whose unusable fifth covers them.

Evidence: silence::a_stream_returns_to_a_silent_engine_without_another_retry failed before in 1 of 1 run ("error reading a body") and passes, as do the other tests of silence and resume.

--- a/crates/policy/src/retry_share.rs
+++ b/crates/policy/src/retry_share.rs
@@ -20,9 +20,9 @@
 ///
 /// # Invariants
 ///
-/// `spent` is never above the instance's share of the slack (at least one retry), so that the
-/// retries in any window number at most that share plus the ratio of the first attempts within the
-/// window.
+/// But for [`Budget::overspend`], `spent` is never above the instance's share of the slack (at least
+/// one retry), so that the retries in any window number at most that share plus the ratio of the first
+/// attempts within the window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Budget {
     spent: f64,
@@ -48,4 +48,9 @@
         }
         has_left
     }
+
+    /// Spends one retry, from those to come if none is left. The unusable fraction covers a few.
+    pub fn overspend(&mut self) {
+        self.spent += 1.0;
+    }
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -46,6 +46,9 @@
     request::Call, //
 };
 
+/// Attempts of a stream that are allowed beyond its limits after it has left an endpoint that may still
+/// serve it: the next one may reject it.
+const FREE_RETRIES: u32 = 2;
 /// Maximum number of attempts per request, including those that did not run it.
 const MAX_ATTEMPTS: u32 = 5;
 /// Connection timeout for endpoints: many round trips within a region.
@@ -69,6 +72,9 @@
     placed: Option<Placed>,
     /// Name of the endpoint that a stream has left although it may still serve it.
     left: Option<Arc<str>>,
+    /// Attempts that are allowed without a retry left, since the stream has left an endpoint that may
+    /// still serve it.
+    free_retries: u32,
 }
 
 /// An endpoint chosen for an attempt that has not begun.
@@ -98,6 +104,7 @@
             record: Record::default(),
             placed: None,
             left: None,
+            free_retries: 0,
         }
     }
 
@@ -129,6 +136,7 @@
             self.record_send(node, call);
             match self.try_endpoint(node, call, &selection, last_event).await {
                 Ok((answer, reply)) => {
+                    self.free_retries = 0;
                     self.count_outcome(node, call, "answered");
                     return Ok(EndpointAnswer {
                         selection,
@@ -366,6 +374,7 @@
     ) {
         self.add_truncation(node, call, selection, failure);
         self.left = Some(selection.endpoint.registration.name.clone());
+        self.free_retries = FREE_RETRIES;
     }
 
     /// Whether a stream that an endpoint answers may continue at another one, and return if that one
@@ -377,15 +386,23 @@
     }
 
     /// Whether another attempt is allowed.
-    pub fn may_retry<P: Protocol>(&self, node: &Node<P>, call: &Call) -> bool {
+    pub fn may_retry<P: Protocol>(&mut self, node: &Node<P>, call: &Call) -> bool {
         let record = &self.record;
         let is_safe = record.verdict() == Verdict::NotRun
             || (call.is_repeatable() && record.runs() < call.route.max_runs);
-        let is_within_limits =
-            record.attempts() < MAX_ATTEMPTS && call.time_left() >= MIN_TIME_LEFT;
-        is_safe
-            && is_within_limits
-            && (!record.has_reached_endpoint() || node.try_charge_retry(&call.service))
+        let max_attempts = MAX_ATTEMPTS + self.free_retries;
+        if !is_safe || record.attempts() >= max_attempts || call.time_left() < MIN_TIME_LEFT {
+            return false;
+        }
+        if !record.has_reached_endpoint() || node.try_charge_retry(&call.service) {
+            return true;
+        }
+        let is_free = self.free_retries > 0;
+        if is_free {
+            self.free_retries -= 1;
+            node.overcharge_retry(&call.service);
+        }
+        is_free
     }
 
     /// The refusal after the last failed attempt.
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -34,6 +34,11 @@
         self.with_budget(service, |budget| budget.spend(allowance, instances))
     }
 
+    /// Charges one retry to the retry budget of a service, also if none is left.
+    pub fn overcharge_retry(&self, service: &Arc<str>) {
+        self.with_budget(service, Budget::overspend);
+    }
+
     fn allowance(&self) -> Allowance {
         Allowance {
             ratio: self.config.bounds.retry_ratio,
