A stream that has left a sound engine waits for one that takes it

After a stream had left a silent or superseded engine, it was cut off at once if the next one rejected it and no other could take it at that moment, also the one that it had left (leaving, or loading by then).

It is now placed again up to six times, 250 ms apart, within the time that callers wait for an event. What attempts need to connect has a file of its own.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,5 +1,7 @@
 //! Sends a request to endpoints, with retries at others as long as a retry is safe.
 
+mod connection;
+
 use std::{
     sync::Arc,
     time::Duration, //
@@ -9,17 +11,16 @@
     Answer,
     Failure,
     Fault,
-    Options,
-    Target,
     Verdict,
-    attempt::Record,
-    pool::MAX_IDLE, //
+    attempt::Record, //
 };
 use telemetry::{
     emit,
     event, //
 };
 
+use connection::options;
+
 use crate::{
     choose::{
         self,
@@ -49,14 +50,14 @@
 /// Attempts of a stream that are allowed beyond its limits after it has left an endpoint that may still
 /// serve it: the next one may reject it.
 const FREE_RETRIES: u32 = 2;
+/// Pause before such a stream is placed again if no endpoint can take it.
+const PLACE_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of these pauses; callers give up a stream after a few seconds without an event.
+const MAX_WAITS: u32 = 6;
 /// Maximum number of attempts per request, including those that did not run it.
 const MAX_ATTEMPTS: u32 = 5;
-/// Connection timeout for endpoints: many round trips within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time left before the deadline below which a request is not sent to an endpoint.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
-/// One in this many of an endpoint's connections may be idle, summed over all instances.
-const IDLE_DIVISOR: usize = 4;
 /// Retry delay for callers after the last failed attempt or an exceeded deadline.
 const DEADLINE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -75,6 +76,8 @@
     /// Attempts that are allowed without a retry left, since the stream has left an endpoint that may
     /// still serve it.
     free_retries: u32,
+    /// How often such a stream still waits while no endpoint can take it.
+    waits: u32,
 }
 
 /// An endpoint chosen for an attempt that has not begun.
@@ -105,6 +108,7 @@
             placed: None,
             left: None,
             free_retries: 0,
+            waits: 0,
         }
     }
 
@@ -130,6 +134,11 @@
                 }
                 None => match self.place(node, call, last_event).await {
                     Ok(selection) => selection,
+                    Err(_) if self.waits > 0 => {
+                        self.waits -= 1;
+                        tokio::time::sleep(PLACE_INTERVAL).await;
+                        continue;
+                    }
                     Err(refusal) => return Err(self.with_verdict(refusal)),
                 },
             };
@@ -137,6 +146,7 @@
             match self.try_endpoint(node, call, &selection, last_event).await {
                 Ok((answer, reply)) => {
                     self.free_retries = 0;
+                    self.waits = 0;
                     self.count_outcome(node, call, "answered");
                     return Ok(EndpointAnswer {
                         selection,
@@ -375,6 +385,7 @@
         self.add_truncation(node, call, selection, failure);
         self.left = Some(selection.endpoint.registration.name.clone());
         self.free_retries = FREE_RETRIES;
+        self.waits = MAX_WAITS;
     }
 
     /// Whether a stream that an endpoint answers may continue at another one, and return if that one
@@ -435,25 +446,6 @@
     }
 }
 
-impl Selection {
-    fn target(&self) -> Target {
-        Target {
-            address: self.endpoint.registration.address,
-            echoes_id: true,
-        }
-    }
-}
-
-fn options<P: Protocol>(node: &Node<P>, call: &Call) -> Options {
-    let time_left = call.time_left();
-    Options {
-        connect_timeout: CONNECT_TIMEOUT.min(time_left),
-        head_timeout: time_left,
-        reuse: call.is_repeatable(),
-        max_idle: max_idle(node, call),
-    }
-}
-
 /// Whether the connection ended before the answer was complete, as when an endpoint crashes. An
 /// answer that ends with its connection may look complete, but empty.
 fn is_break(fault: &Fault) -> bool {
@@ -463,17 +455,6 @@
     )
 }
 
-/// Maximum number of idle connections per endpoint of the call's service. Requests that may not
-/// be repeated never reuse a connection, so theirs are closed.
-fn max_idle<P: Protocol>(node: &Node<P>, call: &Call) -> usize {
-    if !call.is_repeatable() {
-        return 0;
-    }
-    let service = call.catalog.service(&call.service);
-    let max_connections = service.map_or(0, |service| service.max_connections);
-    (max_connections / IDLE_DIVISOR / node.instance_count()).clamp(1, MAX_IDLE)
-}
-
 impl Attempts {
     /// Records a complete answer with an error status; the endpoint is not tried again.
     pub fn add_error_answer(&mut self, selection: &Selection, fault: Fault) {
