Idle connections are closed once a request got no answer beside them

If the open connections to an endpoint fall silent for good while new ones work, each idle one cost a request its whole time, one after the other, until keepalive probes closed the rest.

After a request without an answer (time-out or lost connection) the connections to its endpoint that have been idle since before are closed.

Test: four idle connections fall silent; the first request times out, the next one must be served.

--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -223,6 +223,23 @@
     ///
     /// With [`Verdict::NotRun`] only if no byte was sent.
     pub async fn send(
+        self: &Arc<Self>,
+        target: Target,
+        request: Request<Full<Bytes>>,
+        options: Options,
+    ) -> Result<Answer, Failure> {
+        let sent_at = Instant::now();
+        let sent = self.send_on_any(target, request, options).await;
+        if let Err(failure) = &sent
+            && matches!(failure.fault, Fault::Timeout | Fault::NoAnswer(_))
+        {
+            // Connections that were open before may be silent for the same reason.
+            self.close_idle(target.address, sent_at);
+        }
+        sent
+    }
+
+    async fn send_on_any(
         self: &Arc<Self>,
         target: Target,
         mut request: Request<Full<Bytes>>,
@@ -301,6 +318,15 @@
         None
     }
 
+    /// Closes the connections to an address that have been idle since before `instant`.
+    fn close_idle(&self, address: SocketAddr, instant: Instant) {
+        let mut table = self.idle.lock();
+        if let Ok(index) = table.find(address) {
+            let idle = &mut table.entries[index].1;
+            idle.retain(|idle| idle.since > instant);
+        }
+    }
+
     fn push_idle(&self, connection: Connection, max_idle: usize) {
         let address = connection.target().address;
         let since = Instant::now();
--- a/crates/endpoint/tests/silence.rs
+++ b/crates/endpoint/tests/silence.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use endpoint::{
     Failure,
+    Fault,
     Options,
     Pool,
     Target,
@@ -93,25 +94,31 @@
     }
 }
 
+fn target(host: &Host) -> Target {
+    Target {
+        address: host.address(),
+        echoes_id: true,
+    }
+}
+
+async fn send(pool: &Arc<Pool>, target: Target, options: Options) -> Result<Bytes, Failure> {
+    let request = Request::get("/")
+        .header("host", "x")
+        .header("x-request-id", "a")
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    let answer = pool.send(target, request, options).await?;
+    let (_, body) = answer.collect(1_000, TIMEOUT).await?;
+    Ok(body)
+}
+
 /// Sends a request, for whose time the host is silent as given.
 async fn send_in_silence(moment: Moment, silence: Duration) -> Result<Bytes, Failure> {
     let host = Host::start(start_endpoint().await).await.unwrap();
     let pool = Arc::new(Pool::default());
-    let target = Target {
-        address: host.address(),
-        echoes_id: true,
-    };
+    let target = target(&host);
     pool.connect(target, options(1)).await.unwrap();
-    let send = async {
-        let request = Request::get("/")
-            .header("host", "x")
-            .header("x-request-id", "a")
-            .body(Full::new(Bytes::new()))
-            .unwrap();
-        let answer = pool.send(target, request, options(1)).await?;
-        let (_, body) = answer.collect(1_000, TIMEOUT).await?;
-        Ok(body)
-    };
+    let send = send(&pool, target, options(1));
     if matches!(moment, Moment::BeforeRequest) {
         host.set_silent(true).unwrap();
     }
@@ -158,3 +165,28 @@
         assert_eq!(failure.verdict, Verdict::MayHaveRun, "{moment:?}");
     }
 }
+
+/// Guards against requests that wait in vain one after the other, each on one of several idle
+/// connections that have fallen silent for good while new ones work.
+#[tokio::test]
+async fn one_request_without_an_answer_is_enough_to_distrust_idle_connections() {
+    const CONNECTIONS: usize = 4;
+    let host = Host::start(start_endpoint().await).await.unwrap();
+    let pool = Arc::new(Pool::default());
+    let target = target(&host);
+    let send = async |head_timeout| {
+        let options = Options {
+            head_timeout,
+            ..options(CONNECTIONS)
+        };
+        send(&pool, target, options).await
+    };
+    let sent = (0..CONNECTIONS).map(|_| send(TIMEOUT));
+    for answer in futures::future::join_all(sent).await {
+        answer.unwrap();
+    }
+    host.silence_connections().unwrap();
+    let unanswered = send(PAUSE * 2).await.unwrap_err();
+    assert!(matches!(unanswered.fault, Fault::Timeout), "{unanswered:?}");
+    assert_eq!(send(TIMEOUT).await.unwrap(), "halfdone");
+}
--- a/crates/testkit/src/silence.rs
+++ b/crates/testkit/src/silence.rs
@@ -68,6 +68,20 @@
         self.address
     }
 
+    /// Falls silent on the present connections, for good; new ones work.
+    ///
+    /// # Errors
+    ///
+    /// If the kernel rejects the filter.
+    pub fn silence_connections(&self) -> std::io::Result<()> {
+        let clients = self.shared.clients.lock();
+        let mut clients = clients.unwrap_or_else(PoisonError::into_inner);
+        for client in clients.drain(..).filter_map(|client| client.upgrade()) {
+            filter(&SockRef::from(&*client), true)?;
+        }
+        Ok(())
+    }
+
     /// Falls silent, or goes on.
     ///
     /// # Errors
