--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -39,10 +39,7 @@
     REQUEST_ID,
     Target,
     Verdict,
-    connection::{
-        SendError,
-        is_large, //
-    }, //
+    connection::SendError, //
 };
 
 /// Usual limit of idle connections to one endpoint, for [`Options::max_idle`].
@@ -220,8 +217,7 @@
     /// Sends a request and waits for the head of the answer.
     ///
     /// If an idle connection proves closed before any byte was sent, the next idle
-    /// one is tried, and a new one when none is left. A request with a large body has a
-    /// connection of its own.
+    /// one is tried, and a new one when none is left.
     ///
     /// # Errors
     ///
@@ -229,17 +225,26 @@
     pub async fn send(
         self: &Arc<Self>,
         target: Target,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         options: Options,
     ) -> Result<Answer, Failure> {
-        if is_large(&request) {
-            let connection = Connection::open_for_large(target, options.connect_timeout).await?;
-            let options = Options {
-                max_idle: 0,
-                ..options
-            };
-            return self.send_on(connection, request, options).await;
+        let sent_at = Instant::now();
+        let sent = self.send_on_any(target, request, options).await;
+        if let Err(failure) = &sent
+            && matches!(failure.fault, Fault::Timeout | Fault::NoAnswer(_))
+        {
+            // Connections that were open before may be silent for the same reason.
+            self.close_idle(target.address, sent_at);
         }
+        sent
+    }
+
+    async fn send_on_any(
+        self: &Arc<Self>,
+        target: Target,
+        mut request: Request<Full<Bytes>>,
+        options: Options,
+    ) -> Result<Answer, Failure> {
         let reuse = options.reuse && target.echoes_id;
         let idle = || reuse.then(|| self.pop_idle(target.address)).flatten();
         while let Some(mut connection) = idle() {
@@ -313,6 +318,15 @@
         None
     }
 
+    /// Closes the connections to an address that have been idle since before `instant`.
+    fn close_idle(&self, address: SocketAddr, instant: Instant) {
+        let mut table = self.idle.lock();
+        if let Ok(index) = table.find(address) {
+            let idle = &mut table.entries[index].1;
+            idle.retain(|idle| idle.since > instant);
+        }
+    }
+
     fn push_idle(&self, connection: Connection, max_idle: usize) {
         let address = connection.target().address;
         let since = Instant::now();
