Log take-ups of which nothing is known, with the hubs that were asked

A caller whose stream is refused as origin_unknown sees one line, and so does the log: neither the name of the stream nor whether any hub answered. Without them a record that was never sent cannot be told from one that the hubs have lost.

STREAM_UNKNOWN names the stream, the number of hubs that were asked and of those that answered.

--- a/crates/router/src/origin/take_up.rs
+++ b/crates/router/src/origin/take_up.rs
@@ -124,14 +124,15 @@
         exchange::query(node, hub, request)
     };
     let mut answers: FuturesUnordered<_> = hubs.into_iter().map(query).collect();
-    let mut has_answer = false;
+    let asked = answers.len();
+    let mut answered = 0_usize;
     let mut is_sole = true;
     let end = tokio::time::Instant::now() + ANSWER_TIMEOUT;
     while let Ok(Some(answer)) = tokio::time::timeout_at(end, answers.next()).await {
         let Some(Message::OriginResponse(response)) = answer else {
             continue;
         };
-        has_answer = true;
+        answered += 1;
         match response.answer {
             OriginAnswer::Recorded(service, build) => {
                 let origin = Arc::new(Origin {
@@ -149,9 +150,19 @@
             OriginAnswer::Unknown => is_sole = false,
         }
     }
-    let knows_builds = has_answer || node.exchange.is_in_touch(clock::now());
-    let sole = sole.filter(|_| is_sole && knows_builds)?;
-    Some((sole, Source::Sole))
+    let knows_builds = answered > 0 || node.exchange.is_in_touch(clock::now());
+    let sole = sole.filter(|_| is_sole && knows_builds);
+    if sole.is_none() {
+        emit!(
+            info,
+            event::STREAM_UNKNOWN,
+            request = call.head.id.to_str().unwrap_or_default(),
+            resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok()),
+            asked = asked,
+            answered = answered,
+        );
+    }
+    Some((sole?, Source::Sole))
 }
 
 /// The only service and build that may have begun a stream of which there is no record, by this
