Write the records of streams while all instances stop

An instance that stops is no hub, and serves its streams for up to nine tenths of the time for a stop. Stops 0.8 s apart overlap, so that for seconds no instance is left that is not stopping: nobody is a hub. Streams that begin then are told to nobody, what hubs had received is not written, and both end with the processes.

A stopping instance that knows of no hub now writes what it has to write itself, as the first hub would. Streams that begin before an instance knows any hub are kept until it does.

--- a/crates/router/src/origin.rs
+++ b/crates/router/src/origin.rs
@@ -2,7 +2,8 @@
 //!
 //! A stream that a caller takes up goes on only at endpoints of the build that began it. The instance
 //! that relayed the stream knows it, and tells the hubs. While a service has several builds, a hub
-//! also writes the records to the table, where instances find them that have started since.
+//! also writes the records to the table, where instances find them that have started since. An instance
+//! that stops while there is no hub writes its own.
 
 mod records;
 mod rows;
@@ -226,20 +227,32 @@
     }
 }
 
+/// Rank of this instance among those that write records now. While all instances stop there is no
+/// hub, and each one writes what it knows.
+fn writer_rank<P: Protocol>(node: &Node<P>) -> Option<usize> {
+    let is_left_alone = || node.is_stopping() && exchange::other_hubs(node).is_empty();
+    node.hub_rank().or_else(|| is_left_alone().then_some(0))
+}
+
 /// The streams of which to tell the hubs now. `mixed` are the services with several builds; their
-/// streams are told twice, since datagrams may be lost.
+/// streams are told twice, since datagrams may be lost. Without a hub, streams are kept until there is
+/// one.
 fn take_unreported<P: Protocol>(
     node: &Node<P>,
     mixed: Vec<Arc<str>>,
 ) -> Vec<(Stream, Arc<Origin>)> {
     let now = clock::now();
     let horizon = node.record_horizon();
-    let is_hub = node.hub_rank().is_some();
+    let is_writer = writer_rank(node).is_some();
+    let has_hub = is_writer || !exchange::other_hubs(node).is_empty();
     let mut state = node.origins.state.lock();
     state.own.expire(now, horizon);
     state.known.expire(now, horizon);
     state.set_mixed(mixed, now);
-    if !is_hub {
+    if !has_hub {
+        return Vec::new();
+    }
+    if !is_writer {
         let is_recent = |p: &Pending| now.saturating_sub(p.since) <= PENDING_HORIZON;
         state.pending.retain(is_recent);
     }
@@ -247,7 +260,7 @@
     let (mixed, unmixed): (Vec<_>, Vec<_>) = new
         .into_iter()
         .partition(|(_, origin)| state.is_mixed(&origin.service));
-    if is_hub {
+    if is_writer {
         for (stream, origin) in &mixed {
             state.add_pending(*stream, origin.clone(), now);
         }
--- a/crates/router/src/origin/rows.rs
+++ b/crates/router/src/origin/rows.rs
@@ -19,7 +19,8 @@
 
 use super::{
     Origin,
-    Stream, //
+    Stream,
+    writer_rank, //
 };
 use crate::{
     ORIGINS,
@@ -127,9 +128,9 @@
     tokio::time::sleep(WRITE_INTERVAL).await;
 }
 
-/// The records that this instance is to write now; none unless it is a hub.
+/// The records that this instance is to write now; none unless it is to write any.
 fn due_records<P: Protocol>(node: &Node<P>, now: Duration) -> Vec<(Stream, Arc<Origin>)> {
-    let Some(rank) = node.hub_rank() else {
+    let Some(rank) = writer_rank(node) else {
         return Vec::new();
     };
     let step = HUB_STEP.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
