Fetch the records of streams when an instance becomes a hub

Callers whose stream one build began were refused with origin_unknown, as long as engines of several builds served, after the instances had been killed one after the other, seconds apart.

Instances tell the hubs of streams when these begin. Which instances are hubs changes when one ends or starts: a hub that starts again knows nothing of what began before, and after as many changes as there are hubs nobody does, though at each moment most instances did.

An instance that becomes a hub now asks all others for the records that the table is not known to have, those that stop included, at once and again after 2 s, since the others tell it of new streams only when they know that it is a hub. Instances of an older version answer that they have no such path.

--- a/crates/router/src/origin.rs
+++ b/crates/router/src/origin.rs
@@ -3,8 +3,9 @@
 //! A stream that a caller takes up goes on only at endpoints of the build that began it. The instance
 //! that relayed the stream knows it, and tells the hubs. While a service has several builds, a hub
 //! also writes the records to the table, where instances find them that have started since. An instance
-//! that stops writes what the table lacks.
+//! that stops writes what the table lacks; one that becomes a hub fetches what the others know.
 
+mod gather;
 mod records;
 mod rows;
 mod take_up;
@@ -36,6 +37,7 @@
     node::Node,
     protocol::Protocol, //
 };
+pub use gather::answer_records;
 use records::Records;
 pub use rows::{
     apply_row,
@@ -136,17 +138,34 @@
     /// Records that the table is not known to have, each once.
     fn unsaved(&self) -> Vec<(Stream, Arc<Origin>)> {
         let all = self.own.iter().chain(self.known.iter());
-        let unsaved = all.filter(|(stream, _)| self.saved.get(*stream).is_none());
+        let unsaved = all.filter(|(stream, _)| !self.is_saved(*stream));
         let mut unsaved: Vec<_> = unsaved.cloned().collect();
         unsaved.sort_by_key(|(stream, _)| *stream);
         unsaved.dedup_by_key(|(stream, _)| *stream);
         unsaved
     }
 
+    /// Whether the table is known to have a stream.
+    fn is_saved(&self, stream: Stream) -> bool {
+        self.saved.get(stream).is_some()
+    }
+
+    /// Adds the record of another instance's stream that was made at `at`; returns whether it was new.
+    fn learn(&mut self, stream: Stream, origin: Arc<Origin>, at: Duration, now: Duration) -> bool {
+        if self.known.get(stream).is_some() || self.is_saved(stream) {
+            return false;
+        }
+        if self.is_mixed(&origin.service) {
+            self.add_pending(stream, origin.clone(), now);
+        }
+        self.known.insert(stream, origin, at);
+        true
+    }
+
     /// Records that the table has a stream.
     fn save(&mut self, stream: Stream, origin: Arc<Origin>, at: Duration) {
         self.remove_pending(stream);
-        if self.saved.get(stream).is_none() {
+        if !self.is_saved(stream) {
             self.saved.insert(stream, origin, at);
         }
     }
@@ -180,8 +199,8 @@
             self.mixed.binary_search(&origin.service).is_ok()
                 && before.binary_search(&origin.service).is_err()
         };
-        let is_unsaved = |stream: Stream| self.saved.get(stream).is_none();
-        let is_due = |record: &&(Stream, Arc<Origin>)| is_new(&record.1) && is_unsaved(record.0);
+        let is_due =
+            |record: &&(Stream, Arc<Origin>)| is_new(&record.1) && !self.is_saved(record.0);
         let own: Vec<_> = self.own.iter().filter(is_due).cloned().collect();
         let known: Vec<_> = self.known.iter().filter(is_due).cloned().collect();
         for (stream, origin) in known {
@@ -234,6 +253,7 @@
 pub async fn run<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W) {
     tokio::join!(
         report(&node),
+        gather::run(&node),
         builds::run(&node, &table),
         rows::run(&node, &table),
     );
@@ -310,13 +330,7 @@
     let now = clock::now();
     let mut state = node.origins.state.lock();
     for (stream, origin) in origins.into_streams() {
-        if state.known.get(stream).is_some() || state.saved.get(stream).is_some() {
-            continue;
-        }
-        if state.is_mixed(&origin.service) {
-            state.add_pending(stream, origin.clone(), now);
-        }
-        state.known.insert(stream, origin, now);
+        state.learn(stream, origin, now, now);
     }
 }
 
--- a/crates/router/src/origin/records.rs
+++ b/crates/router/src/origin/records.rs
@@ -79,6 +79,12 @@
         })
     }
 
+    /// Records by generation, each with the time at which it begins.
+    pub(super) fn generations(&self) -> impl Iterator<Item = (Duration, &[(Stream, Arc<Origin>)])> {
+        let generations = self.generations.iter();
+        generations.map(|g| (g.begins_at, &*g.records))
+    }
+
     /// All records.
     pub(super) fn iter(&self) -> impl Iterator<Item = &(Stream, Arc<Origin>)> {
         self.generations.iter().flat_map(|g| &g.records)
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -32,6 +32,7 @@
         Service, //
     },
     node::Node,
+    origin,
     peer,
     protocol::Protocol,
     refusal::{
@@ -239,8 +240,10 @@
         if path == peer::STATE_PATH {
             return json(self.0.export().encode());
         }
-        let answer = peer::answer_in_force(&self.0, path);
-        match answer.or_else(|| peer::answer_changes(&self.0, path)) {
+        let answer = peer::answer_in_force(&self.0, path)
+            .or_else(|| peer::answer_changes(&self.0, path))
+            .or_else(|| origin::answer_records(&self.0, path));
+        match answer {
             Some(changes) => Response::new(Body::full(changes)),
             None => status(StatusCode::NOT_FOUND),
         }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -136,6 +136,8 @@
     STREAM_UNKNOWN = 430;
     /// The table did not take the records of streams of an instance that stops; other instances know them only as far as they were told.
     STREAMS_UNSAVED = 431;
+    /// This instance has become a hub and has fetched the records of streams; names the instances that answered and the streams that were new, by number.
+    STREAMS_GATHERED = 432;
     /// The table did not answer a request about token rights; the rights expire with their term if this lasts.
     RIGHTS_FAULT = 500;
     /// Other instances ended the rights of this instance after its term; it starts over.
