--- a/crates/router/src/origin.rs
+++ b/crates/router/src/origin.rs
@@ -2,14 +2,19 @@
 //!
 //! A stream that a caller takes up goes on only at endpoints of the build that began it. The instance
 //! that relayed the stream knows it, and tells the hubs. While a service has several builds, a hub
-//! also writes the records to the table, where instances find them that have started since.
+//! also writes the records to the table, where instances find them that have started since. An instance
+//! that stops writes what the table lacks; one that becomes a hub fetches what the others know.
 
+mod gather;
 mod records;
 mod rows;
 mod take_up;
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::AtomicUsize, //
+    },
     time::Duration, //
 };
 
@@ -32,8 +37,12 @@
     node::Node,
     protocol::Protocol, //
 };
+pub use gather::answer_records;
 use records::Records;
-pub use rows::apply_row;
+pub use rows::{
+    apply_row,
+    write_unsaved, //
+};
 pub use take_up::{
     find,
     handle_request, //
@@ -90,8 +99,10 @@
 struct State {
     /// Streams that this instance has relayed.
     own: Records,
-    /// Streams of which other instances or the table have told.
+    /// Streams of which other instances have told.
     known: Records,
+    /// Streams that the table has.
+    saved: Records,
     /// Own streams of which the hubs have not been told.
     unreported: Vec<(Stream, Arc<Origin>)>,
     /// Own streams of which the hubs were told once; datagrams may be lost.
@@ -114,11 +125,49 @@
     state: Mutex<State>,
     /// Notified when records are to be written.
     pending_added: Notify,
+    /// Number of rows that this instance has written, which tells those of the same time apart.
+    rows_written: AtomicUsize,
 }
 
 impl State {
     fn get(&self, stream: Stream) -> Option<&Arc<Origin>> {
-        self.own.get(stream).or_else(|| self.known.get(stream))
+        let records = [&self.own, &self.known, &self.saved];
+        records.iter().find_map(|records| records.get(stream))
+    }
+
+    /// Records that the table is not known to have, each once.
+    fn unsaved(&self) -> Vec<(Stream, Arc<Origin>)> {
+        let all = self.own.iter().chain(self.known.iter());
+        let unsaved = all.filter(|(stream, _)| !self.is_saved(*stream));
+        let mut unsaved: Vec<_> = unsaved.cloned().collect();
+        unsaved.sort_by_key(|(stream, _)| *stream);
+        unsaved.dedup_by_key(|(stream, _)| *stream);
+        unsaved
+    }
+
+    /// Whether the table is known to have a stream.
+    fn is_saved(&self, stream: Stream) -> bool {
+        self.saved.get(stream).is_some()
+    }
+
+    /// Adds the record of another instance's stream that was made at `at`; returns whether it was new.
+    fn learn(&mut self, stream: Stream, origin: Arc<Origin>, at: Duration, now: Duration) -> bool {
+        if self.known.get(stream).is_some() || self.is_saved(stream) {
+            return false;
+        }
+        if self.is_mixed(&origin.service) {
+            self.add_pending(stream, origin.clone(), now);
+        }
+        self.known.insert(stream, origin, at);
+        true
+    }
+
+    /// Records that the table has a stream.
+    fn save(&mut self, stream: Stream, origin: Arc<Origin>, at: Duration) {
+        self.remove_pending(stream);
+        if !self.is_saved(stream) {
+            self.saved.insert(stream, origin, at);
+        }
     }
 
     fn add_pending(&mut self, stream: Stream, origin: Arc<Origin>, now: Duration) {
@@ -150,10 +199,11 @@
             self.mixed.binary_search(&origin.service).is_ok()
                 && before.binary_search(&origin.service).is_err()
         };
-        let own = self.own.iter().filter(|(_, origin)| is_new(origin));
-        let own: Vec<_> = own.cloned().collect();
-        let known = self.known.iter().filter(|(_, origin)| is_new(origin));
-        for (stream, origin) in known.cloned().collect::<Vec<_>>() {
+        let is_due =
+            |record: &&(Stream, Arc<Origin>)| is_new(&record.1) && !self.is_saved(record.0);
+        let own: Vec<_> = self.own.iter().filter(is_due).cloned().collect();
+        let known: Vec<_> = self.known.iter().filter(is_due).cloned().collect();
+        for (stream, origin) in known {
             self.add_pending(stream, origin, now);
         }
         self.unreported.extend(own);
@@ -186,11 +236,10 @@
     fn rewrite(&self) {
         let now = clock::now();
         let mut state = self.state.lock();
-        let all = state.own.iter().chain(state.known.iter());
-        let lost: Vec<_> = all
-            .filter(|(_, origin)| state.is_mixed(&origin.service))
-            .cloned()
-            .collect();
+        let saved = std::mem::take(&mut state.saved);
+        state.known.merge(saved);
+        let mut lost = state.unsaved();
+        lost.retain(|(_, origin)| state.is_mixed(&origin.service));
         for (stream, origin) in lost {
             state.add_pending(stream, origin, now);
         }
@@ -204,6 +253,7 @@
 pub async fn run<P: Protocol, W: Watch>(node: Arc<Node<P>>, table: W) {
     tokio::join!(
         report(&node),
+        gather::run(&node),
         builds::run(&node, &table),
         rows::run(&node, &table),
     );
@@ -226,20 +276,33 @@
     }
 }
 
+/// Rank of this instance among those that write records now. While all instances stop there is no
+/// hub, and each one writes what it knows.
+fn writer_rank<P: Protocol>(node: &Node<P>) -> Option<usize> {
+    let is_left_alone = || node.is_stopping() && exchange::other_hubs(node).is_empty();
+    node.hub_rank().or_else(|| is_left_alone().then_some(0))
+}
+
 /// The streams of which to tell the hubs now. `mixed` are the services with several builds; their
-/// streams are told twice, since datagrams may be lost.
+/// streams are told twice, since datagrams may be lost. Without a hub, streams are kept until there is
+/// one.
 fn take_unreported<P: Protocol>(
     node: &Node<P>,
     mixed: Vec<Arc<str>>,
 ) -> Vec<(Stream, Arc<Origin>)> {
     let now = clock::now();
     let horizon = node.record_horizon();
-    let is_hub = node.hub_rank().is_some();
+    let is_writer = writer_rank(node).is_some();
+    let has_hub = is_writer || !exchange::other_hubs(node).is_empty();
     let mut state = node.origins.state.lock();
     state.own.expire(now, horizon);
     state.known.expire(now, horizon);
+    state.saved.expire(now, horizon);
     state.set_mixed(mixed, now);
-    if !is_hub {
+    if !has_hub {
+        return Vec::new();
+    }
+    if !is_writer {
         let is_recent = |p: &Pending| now.saturating_sub(p.since) <= PENDING_HORIZON;
         state.pending.retain(is_recent);
     }
@@ -247,7 +310,7 @@
     let (mixed, unmixed): (Vec<_>, Vec<_>) = new
         .into_iter()
         .partition(|(_, origin)| state.is_mixed(&origin.service));
-    if is_hub {
+    if is_writer {
         for (stream, origin) in &mixed {
             state.add_pending(*stream, origin.clone(), now);
         }
@@ -267,13 +330,7 @@
     let now = clock::now();
     let mut state = node.origins.state.lock();
     for (stream, origin) in origins.into_streams() {
-        if state.known.get(stream).is_some() {
-            continue;
-        }
-        if state.is_mixed(&origin.service) {
-            state.add_pending(stream, origin.clone(), now);
-        }
-        state.known.insert(stream, origin, now);
+        state.learn(stream, origin, now, now);
     }
 }
 
--- a/crates/router/src/origin/records.rs
+++ b/crates/router/src/origin/records.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Adds other records.
+    pub(super) fn merge(&mut self, other: Self) {
+        for generation in other.generations {
+            for (stream, origin) in generation.records {
+                self.insert(stream, origin, generation.begins_at);
+            }
+        }
+    }
+
     /// What began a stream.
     pub(super) fn get(&self, stream: Stream) -> Option<&Arc<Origin>> {
         self.generations.iter().rev().find_map(|generation| {
@@ -70,6 +79,12 @@
         })
     }
 
+    /// Records by generation, each with the time at which it begins.
+    pub(super) fn generations(&self) -> impl Iterator<Item = (Duration, &[(Stream, Arc<Origin>)])> {
+        let generations = self.generations.iter();
+        generations.map(|g| (g.begins_at, &*g.records))
+    }
+
     /// All records.
     pub(super) fn iter(&self) -> impl Iterator<Item = &(Stream, Arc<Origin>)> {
         self.generations.iter().flat_map(|g| &g.records)
