Paths to the endpoints of a service: direct, relayed, unreachable

Decides from single observations whether an instance connects to an endpoint directly, through another instance, or not for now. Not used yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod nearby;
 pub mod outage;
 pub mod pace;
+pub mod path;
 pub mod prefix;
 pub mod quarantine;
 pub mod rank;
