--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -11,7 +11,7 @@
     Connection,
     Link,
     Target,
-    connection::set_relay_options,
+    connection::set_options,
     link::Frames, //
 };
 use futures::{
@@ -202,7 +202,7 @@
 ) -> Result<Connection, Fault> {
     let lost = |reason: &dyn std::fmt::Display| Fault::Lost(reason.to_string());
     let stream = TcpStream::connect(peer).await.map_err(|e| lost(&e))?;
-    set_relay_options(&stream).map_err(|e| lost(&e))?;
+    set_options(&stream).map_err(|e| lost(&e))?;
     let name = |text: &str| HeaderValue::from_str(text).map_err(|e| lost(&e));
     let request = Request::get(PATH)
         .header(header::HOST, peer.to_string())
--- a/crates/router/src/relay/serve.rs
+++ b/crates/router/src/relay/serve.rs
@@ -6,7 +6,7 @@
 };
 
 use endpoint::{
-    connection::set_relay_options,
+    connection::set_options,
     link::copy_framed, //
 };
 use http::{
@@ -154,8 +154,8 @@
     mut endpoint: TcpStream,
     first_bytes: &[u8],
 ) -> std::io::Result<()> {
-    set_relay_options(&taker)?;
-    set_relay_options(&endpoint)?;
+    set_options(&taker)?;
+    set_options(&endpoint)?;
     endpoint.write_all(first_bytes).await?;
     let (mut from_taker, mut to_taker) = taker.split();
     let (mut from_endpoint, to_endpoint) = endpoint.split();
