--- a/crates/endpoint/tests/silence.rs
+++ b/crates/endpoint/tests/silence.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use endpoint::{
+    Direct,
     Failure,
     Fault,
     Options,
@@ -107,7 +108,7 @@
         .header("x-request-id", "a")
         .body(Full::new(Bytes::new()))
         .unwrap();
-    let answer = pool.send(target, request, options).await?;
+    let answer = pool.send(target, request, options, &Direct).await?;
     let (_, body) = answer.collect(1_000, TIMEOUT).await?;
     Ok(body)
 }
@@ -117,7 +118,7 @@
     let host = Host::start(start_endpoint().await).await.unwrap();
     let pool = Arc::new(Pool::default());
     let target = target(&host);
-    pool.connect(target, options(1)).await.unwrap();
+    pool.connect(target, options(1), &Direct).await.unwrap();
     let send = send(&pool, target, options(1));
     if matches!(moment, Moment::BeforeRequest) {
         host.set_silent(true).unwrap();
