Streams are not taken up by a guess while a hub does not answer

A stream that had begun on endpoints of a new build could go on at one of the older build, at an instance that had been cut off from the store and from the other instances less than about a second before (ORDER).

Cause: without a record, an instance took the only build that it saw for the one that began the stream as long as it counted as in touch, that is up to 0.9 s after the last digest of a hub and 1.1 s after the last answer of the table, also if no hub answered its question. A build may have joined, begun streams and been recorded in that time. Class of fault: silence is taken for agreement.

Evidence: path::take_up_refusals::an_instance_that_was_just_cut_off_refuses_ streams_of_which_it_knows_nothing failed before: the first take-up after the cut reached an engine of the older build. The test next to it allowed this for 10 s, since it waits for the first refusal.

Now every other hub has to name the same only build. Without another hub the instance has to see the table, as before. Cost: for up to 3.5 s after a hub was killed or fell silent, take-ups of streams of which no instance in reach has a record are refused as not run, with 0.5 s to come back, also while there is only one build.

An instance that stood still (SIGSTOP) while a build joined, with the other one alive or stopped: new tests, which passed before, too.

--- a/crates/router/src/origin/take_up.rs
+++ b/crates/router/src/origin/take_up.rs
@@ -103,7 +103,7 @@
 }
 
 /// Asks the hubs for the record of a stream; without one, the only build that may have begun it, if
-/// all that answered agree with this instance.
+/// all of them agree with this instance. One that is not heard may know of a build that has come since.
 async fn ask_hubs<P: Protocol>(
     node: &Node<P>,
     call: &Call,
@@ -124,14 +124,15 @@
         exchange::query(node, hub, request)
     };
     let mut answers: FuturesUnordered<_> = hubs.into_iter().map(query).collect();
-    let mut has_answer = false;
+    let is_alone = answers.is_empty();
+    let mut unheard = answers.len();
     let mut is_sole = true;
     let end = tokio::time::Instant::now() + ANSWER_TIMEOUT;
     while let Ok(Some(answer)) = tokio::time::timeout_at(end, answers.next()).await {
         let Some(Message::OriginResponse(response)) = answer else {
             continue;
         };
-        has_answer = true;
+        unheard -= 1;
         match response.answer {
             OriginAnswer::Recorded(service, build) => {
                 let origin = Arc::new(Origin {
@@ -149,8 +150,8 @@
             OriginAnswer::Unknown => is_sole = false,
         }
     }
-    let knows_builds = has_answer || node.exchange.is_in_touch(clock::now());
-    let sole = sole.filter(|_| is_sole && knows_builds)?;
+    let knows_builds = !is_alone || node.exchange.is_in_touch(clock::now());
+    let sole = sole.filter(|_| is_sole && unheard == 0 && knows_builds)?;
     Some((sole, Source::Sole))
 }
 
