--- a/crates/router/src/origin/take_up.rs
+++ b/crates/router/src/origin/take_up.rs
@@ -103,7 +103,7 @@
 }
 
 /// Asks the hubs for the record of a stream; without one, the only build that may have begun it, if
-/// all that answered agree with this instance.
+/// all of them agree with this instance. One that is not heard may know of a build that has come since.
 async fn ask_hubs<P: Protocol>(
     node: &Node<P>,
     call: &Call,
@@ -150,8 +150,8 @@
             OriginAnswer::Unknown => is_sole = false,
         }
     }
-    let knows_builds = answered > 0 || node.exchange.is_in_touch(clock::now());
-    let sole = sole.filter(|_| is_sole && knows_builds);
+    let knows_builds = asked > 0 || node.exchange.is_in_touch(clock::now());
+    let sole = sole.filter(|_| is_sole && answered == asked && knows_builds);
     if sole.is_none() {
         emit!(
             info,
