Fetch only the records of the last moments the second time

An instance that becomes a hub fetches the records of all others twice. From those that have answered the first time, only streams of the last seconds are new.

--- a/crates/router/src/origin/gather.rs
+++ b/crates/router/src/origin/gather.rs
@@ -22,6 +22,7 @@
     event, //
 };
 
+use super::records::GENERATION;
 use crate::{
     exchange::whole_millis,
     message::Origins,
@@ -29,7 +30,8 @@
     protocol::Protocol, //
 };
 
-/// Path that returns the records of an instance that the table is not known to have.
+/// Path that returns the records of an instance that the table is not known to have. The maximum age of
+/// those that are requested follows after a slash, in milliseconds.
 pub const RECORDS_PATH: &str = "/v1/origins";
 
 /// Interval between checks of whether this instance is a hub.
@@ -52,9 +54,9 @@
 pub(super) async fn run<P: Protocol>(node: &Node<P>) {
     loop {
         wait_until_hub(node, true).await;
-        gather(node).await;
+        let answered = gather(node, &[]).await;
         tokio::time::sleep(REPEAT_DELAY).await;
-        gather(node).await;
+        gather(node, &answered).await;
         wait_until_hub(node, false).await;
     }
 }
@@ -68,18 +70,26 @@
     }
 }
 
-/// Fetches the records of all other instances, those included that are stopping.
-async fn gather<P: Protocol>(node: &Node<P>) {
+/// Fetches the records of all other instances, those included that are stopping, but only those of the
+/// last moments from those that have `answered` before; returns the instances that answer now.
+async fn gather<P: Protocol>(node: &Node<P>, answered: &[SocketAddr]) -> Vec<SocketAddr> {
     let others = node.members.others(&node.config.name, clock::now());
-    let fetches = others
-        .into_iter()
-        .map(|member| fetch(node, member.row.peers));
+    let fetches = others.into_iter().map(|member| {
+        let address = member.row.peers;
+        let max_age = if answered.contains(&address) {
+            REPEAT_DELAY * 2
+        } else {
+            node.record_horizon()
+        };
+        fetch(node, address, max_age)
+    });
     let mut answers = stream::iter(fetches).buffer_unordered(MAX_FETCHES);
-    let (mut answered, mut learned) = (0_usize, 0_usize);
-    while let Some(batches) = answers.next().await {
-        match batches {
-            Ok(batches) => {
-                answered += 1;
+    let mut answered = Vec::new();
+    let mut learned = 0;
+    while let Some(answer) = answers.next().await {
+        match answer {
+            Ok((address, batches)) => {
+                answered.push(address);
                 learned += learn(node, batches);
             }
             // One of an older version has no such path; one that is gone does not answer.
@@ -89,16 +99,20 @@
     emit!(
         info,
         event::STREAMS_GATHERED,
-        instances = answered,
+        instances = answered.len(),
         streams = learned,
     );
+    answered
 }
 
-async fn fetch<P: Protocol>(node: &Node<P>, address: SocketAddr) -> anyhow::Result<Vec<Batch>> {
-    let response = node
-        .peers
-        .call(Method::GET, address, RECORDS_PATH, Bytes::new());
-    Ok(postcard::from_bytes(&response.await?.body)?)
+async fn fetch<P: Protocol>(
+    node: &Node<P>,
+    address: SocketAddr,
+    max_age: Duration,
+) -> anyhow::Result<(SocketAddr, Vec<Batch>)> {
+    let path = format!("{RECORDS_PATH}/{}", max_age.as_millis());
+    let response = node.peers.call(Method::GET, address, &path, Bytes::new());
+    Ok((address, postcard::from_bytes(&response.await?.body)?))
 }
 
 /// Adds the records; returns the number of those that were new.
@@ -115,19 +129,20 @@
     learned
 }
 
-/// Response to a request for [`RECORDS_PATH`]; `None` if `path` is another path.
+/// Response to a request for [`RECORDS_PATH`]; `None` if `path` is another path or malformed.
 pub fn answer_records<P: Protocol>(node: &Node<P>, path: &str) -> Option<Bytes> {
-    if path != RECORDS_PATH {
-        return None;
-    }
+    let max_age = path.strip_prefix(RECORDS_PATH)?.strip_prefix('/')?;
+    let max_age = Duration::from_millis(max_age.parse().ok()?);
     let now = clock::now();
     let state = node.origins.state.lock();
     let generations = state.own.generations().chain(state.known.generations());
     let batches: Vec<Batch> = generations
-        .map(|(begins_at, records)| {
+        .map(|(begins_at, records)| (now.saturating_sub(begins_at), records))
+        .filter(|(age, _)| *age <= max_age + GENERATION)
+        .map(|(age, records)| {
             let unsaved = records.iter().filter(|record| !state.is_saved(record.0));
             Batch {
-                age_ms: whole_millis(now.saturating_sub(begins_at)),
+                age_ms: whole_millis(age),
                 origins: Origins::group(&unsaved.cloned().collect::<Vec<_>>()),
             }
         })
--- a/crates/router/src/origin/records.rs
+++ b/crates/router/src/origin/records.rs
@@ -12,7 +12,7 @@
 };
 
 /// Time that the records of one generation span.
-const GENERATION: Duration = Duration::from_secs(1);
+pub(super) const GENERATION: Duration = Duration::from_secs(1);
 /// Maximum number of records; the oldest generation is dropped beyond it.
 const MAX_RECORDS: usize = 1 << 18;
 
