An endpoint that another instance reaches has not crashed

Cause: a refused connection counted as a sign of a process that is gone, whatever other instances saw. Before a crash counts, another instance is now asked to connect, too.

--- a/crates/router/src/quarantine/detect.rs
+++ b/crates/router/src/quarantine/detect.rs
@@ -24,7 +24,10 @@
 use super::Source;
 use crate::{
     exchange,
-    fleet::Endpoint,
+    fleet::{
+        Endpoint,
+        Registration, //
+    },
     message::{
         Crash,
         Evidence,
@@ -32,7 +35,8 @@
         Suspects, //
     },
     node::Node,
-    protocol::Protocol, //
+    protocol::Protocol,
+    relay, //
 };
 
 /// Interval at which evidence is sent again, since datagrams may be lost and hubs may change.
@@ -181,18 +185,21 @@
             .iter()
             .any(|other| is_same_incarnation(other, &endpoint));
         let connects = index < MAX_CONNECTIONS;
-        if !is_registered || connects && is_refused(endpoint.registration.address).await {
+        if !is_registered || connects && is_down(&node, &endpoint.registration).await {
             confirm(&node, &endpoint, broken_at);
             return;
         }
     }
 }
 
-/// Whether a connection to this address is refused; a host that does not answer may have been
-/// cut off and tells nothing about its processes.
-async fn is_refused(address: SocketAddr) -> bool {
-    let connected = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+/// Whether connections to an endpoint are refused, also those of another instance; a host that does
+/// not answer may have been cut off and tells nothing about its processes.
+async fn is_down<P: Protocol>(node: &Node<P>, endpoint: &Registration) -> bool {
+    let connect = TcpStream::connect(endpoint.address);
+    let connected = tokio::time::timeout(CHECK_TIMEOUT, connect).await;
+    let is_refused =
+        matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
+    is_refused && !relay::is_reached(node, endpoint, CHECK_TIMEOUT).await
 }
 
 fn confirm<P: Protocol>(node: &Node<P>, endpoint: &Endpoint, broken_at: Duration) {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -159,6 +159,24 @@
     }
 }
 
+/// Whether another instance connects to an endpoint to which connections of this one are refused.
+pub async fn is_reached<P: Protocol>(
+    node: &Node<P>,
+    endpoint: &Registration,
+    timeout: Duration,
+) -> bool {
+    let target = Target {
+        address: endpoint.address,
+        echoes_id: true,
+    };
+    let deadline = Instant::now() + timeout;
+    let is_reached = peers::open(node, endpoint, target, deadline).await.is_ok();
+    if is_reached {
+        node.paths.record_relayed(endpoint);
+    }
+    is_reached
+}
+
 fn open_direct(target: Target, deadline: Instant) -> Direct {
     let time_left = deadline.saturating_duration_since(Instant::now());
     Box::pin(Connection::open(target, time_left))
--- a/crates/router/src/relay/probe.rs
+++ b/crates/router/src/relay/probe.rs
@@ -5,16 +5,12 @@
     time::Duration, //
 };
 
-use endpoint::Target;
 use policy::path::Route;
-use tokio::{
-    net::TcpStream,
-    time::Instant, //
-};
+use tokio::net::TcpStream;
 
 use super::{
-    paths,
-    peers, //
+    is_reached,
+    paths, //
 };
 use crate::{
     fleet::Registration,
@@ -68,14 +64,7 @@
         return true;
     }
     if route == Route::Unreachable {
-        let target = Target {
-            address: endpoint.address,
-            echoes_id: true,
-        };
-        let deadline = Instant::now() + PROBE_TIMEOUT;
-        if peers::open(node, endpoint, target, deadline).await.is_ok() {
-            node.paths.record_relayed(endpoint);
-        }
+        is_reached(node, endpoint, PROBE_TIMEOUT).await;
     }
     false
 }
