Relays are asked in other failure domains, too

Where a whole domain is cut, its instances would ask each other only. Three of the own domain come first, then the others; those that have not relayed a connection are asked last for a second, also if no other one has. The order is a pure function with tests.

--- a/crates/policy/src/path.rs
+++ b/crates/policy/src/path.rs
@@ -3,11 +3,46 @@
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 /// Endpoints that must prove that the direct path is cut before it counts for their whole service.
 const MIN_PROOFS: usize = 2;
 /// Time for which an endpoint that nobody reaches is not tried again.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of instances that are asked to relay one connection.
+const MAX_PEERS: usize = 8;
+/// Maximum number of these in the own failure domain that are asked before any other: the domain may be
+/// cut as a whole.
+const MAX_NEAR_PEERS: usize = 3;
+
+/// An instance that may relay a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Peer<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Whether it is in the same failure domain.
+    pub is_near: bool,
+    /// Whether it has lately not relayed a connection to the service.
+    pub is_avoided: bool,
+}
+
+/// Instances to ask for a connection, best first, as indexes into `peers`. Some of the own failure domain
+/// come first, since bytes between domains are dear; `seed` spreads the rest.
+pub fn rank_peers(peers: &[Peer<'_>], seed: u64) -> Vec<usize> {
+    let score = |index: &usize| xxh3_64_with_seed(peers[*index].name.as_bytes(), seed);
+    let mut order: Vec<usize> = (0..peers.len()).collect();
+    order.sort_by_cached_key(score);
+    let is_first = |index: &usize| peers[*index].is_near && !peers[*index].is_avoided;
+    let mut ranked: Vec<usize> = order.iter().copied().filter(is_first).collect();
+    ranked.truncate(MAX_NEAR_PEERS);
+    order.retain(|index| !ranked.contains(index));
+    order.sort_by_key(|index| peers[*index].is_avoided);
+    ranked.extend(order);
+    ranked.truncate(MAX_PEERS);
+    ranked
+}
+
 /// How to connect to an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Route {
--- a/crates/policy/tests/path.rs
+++ b/crates/policy/tests/path.rs
@@ -4,7 +4,9 @@
 
 use policy::path::{
     Paths,
-    Route, //
+    Peer,
+    Route,
+    rank_peers, //
 };
 
 const fn seconds(count: u64) -> Duration {
@@ -47,3 +49,42 @@
     paths.forget(1);
     assert_eq!(paths.failed().count(), 0);
 }
+
+fn peers(near: usize, far: usize) -> Vec<Peer<'static>> {
+    const NAMES: [&str; 10] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+    let peer = |index: usize| Peer {
+        name: NAMES[index],
+        is_near: index < near,
+        is_avoided: false,
+    };
+    (0..near + far).map(peer).collect()
+}
+
+/// Guards against a failure domain that is cut as a whole, whose instances ask only each other.
+#[test]
+fn peers_of_other_domains_follow_some_of_the_own_one() {
+    let mut peers = peers(8, 2);
+    for seed in 0..100 {
+        let ranked = rank_peers(&peers, seed);
+        assert_eq!(ranked.len(), 8);
+        assert!(ranked[..3].iter().all(|index| peers[*index].is_near));
+    }
+    for peer in &mut peers[..8] {
+        peer.is_avoided = true;
+    }
+    let mut first = rank_peers(&peers, 1);
+    first.truncate(2);
+    first.sort_unstable();
+    assert_eq!(first, [8, 9]);
+}
+
+/// Guards against one instance that all cut ones ask first.
+#[test]
+fn connections_spread_over_the_peers() {
+    let peers = peers(0, 5);
+    let mut counts = [0; 5];
+    for seed in 0..1_000 {
+        counts[rank_peers(&peers, seed)[0]] += 1;
+    }
+    assert!(counts.iter().all(|count| *count > 100), "{counts:?}");
+}
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -27,6 +27,7 @@
 use http_body_util::Empty;
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
+use policy::path;
 use state::clock;
 use telemetry::{
     emit,
@@ -53,8 +54,6 @@
     protocol::Protocol, //
 };
 
-/// Maximum number of instances that are asked for one connection.
-const MAX_PEERS: usize = 4;
 /// Time for which an instance that did not relay a connection is asked after the others.
 const AVOID_TIME: Duration = Duration::from_secs(1);
 /// Same for an instance of an older build, which cannot.
@@ -100,58 +99,62 @@
     target: Target,
     deadline: Instant,
 ) -> Result<Connection, Refusal> {
+    // Instances that were asked.
+    let mut asked = Vec::new();
+    let opened = ask_in_turn(node, endpoint, target, deadline, &mut asked).await;
+    let relay = opened.as_ref().ok().map(|(relay, _)| relay.hash);
+    for other in asked.into_iter().filter(|other| Some(*other) != relay) {
+        let service = Some(&endpoint.service);
+        node.avoided_relays.add(other, service, AVOID_TIME);
+    }
+    let (relay, connection) = opened?;
+    emit!(
+        info,
+        event::CONNECTION_RELAYED,
+        endpoint = &*endpoint.name,
+        peer = &*relay.name,
+    );
+    Ok(connection)
+}
+
+/// Asks instances one after the other, each with a head start, until one has connected.
+async fn ask_in_turn<P: Protocol>(
+    node: &Node<P>,
+    endpoint: &Registration,
+    target: Target,
+    deadline: Instant,
+    asked: &mut Vec<u32>,
+) -> Result<(Peer, Connection), Refusal> {
     let mut is_confirmed = false;
     let mut peers = candidates(node, endpoint).into_iter();
-    // Instances that have not answered, or could not connect.
-    let mut slow: Vec<u32> = Vec::new();
-    let mut asked = FuturesUnordered::new();
+    let mut answers = FuturesUnordered::new();
     loop {
-        if asked.is_empty() {
-            let Some(peer) = peers.next() else {
-                return Err(Refusal { is_confirmed });
-            };
-            slow.push(peer.hash);
-            asked.push(ask(peer, endpoint, target));
+        if let Some(peer) = peers.next() {
+            asked.push(peer.hash);
+            answers.push(ask(peer, endpoint, target));
         }
         let head_start = tokio::time::sleep(HEAD_START);
-        let answered = tokio::select! {
-            answered = asked.next() => answered,
-            () = head_start, if peers.len() > 0 => None,
+        let answer = tokio::select! {
+            answer = answers.next() => match answer {
+                Some(answer) => answer,
+                None => return Err(Refusal { is_confirmed }),
+            },
+            () = head_start, if peers.len() > 0 => continue,
             () = tokio::time::sleep_until(deadline) => return Err(Refusal { is_confirmed }),
         };
-        if let Some((peer, result)) = answered {
-            match result {
-                Ok(connection) => {
-                    emit!(
-                        info,
-                        event::CONNECTION_RELAYED,
-                        endpoint = &*endpoint.name,
-                        peer = &*peer.name,
-                    );
-                    for other in slow.into_iter().filter(|other| *other != peer.hash) {
-                        let service = Some(&endpoint.service);
-                        node.avoided_relays.add(other, service, AVOID_TIME);
-                    }
-                    return Ok(connection);
-                }
-                Err(fault) => {
-                    is_confirmed |= matches!(fault, Fault::Unreached);
-                    record_fault(node, endpoint, &peer, &fault);
-                }
+        match answer {
+            (peer, Ok(connection)) => return Ok((peer, connection)),
+            (peer, Err(fault)) => {
+                is_confirmed |= matches!(fault, Fault::Unreached);
+                record_fault(node, &peer, &fault);
             }
         }
-        if let Some(peer) = peers.next() {
-            slow.push(peer.hash);
-            asked.push(ask(peer, endpoint, target));
-        }
     }
 }
 
-fn record_fault<P: Protocol>(node: &Node<P>, endpoint: &Registration, peer: &Peer, fault: &Fault) {
-    let service = Some(&endpoint.service);
+fn record_fault<P: Protocol>(node: &Node<P>, peer: &Peer, fault: &Fault) {
     match fault {
-        Fault::Unreached | Fault::Unwanted => {}
-        Fault::Busy => node.avoided_relays.add(peer.hash, service, AVOID_TIME),
+        Fault::Unreached | Fault::Unwanted | Fault::Busy => {}
         Fault::Unable => node.avoided_relays.add(peer.hash, None, UNABLE_TIME),
         Fault::Lost(reason) => {
             node.avoided_relays.add(peer.hash, None, AVOID_TIME);
@@ -160,30 +163,29 @@
     }
 }
 
-/// Instances to ask, in this order: those of the own failure domain first, since bytes between domains
-/// are dear, else spread by a hash of the own name and the endpoint.
+/// Instances to ask, best first.
 fn candidates<P: Protocol>(node: &Node<P>, endpoint: &Registration) -> Vec<Peer> {
     let own = &node.config;
     let seed = xxh3_64_with_seed(own.name.as_bytes(), super::paths::key(endpoint));
-    let mut ranked: Vec<_> = node.members.with_live(clock::now(), |members| {
+    node.members.with_live(clock::now(), |members| {
         let others = members.iter().filter(|member| *member.name != *own.name);
-        let ranked = others.map(|member| {
-            let hash = name_hash(&member.name);
-            let is_avoided = node.avoided_relays.contains(hash, &endpoint.service);
-            let is_far = member.row.domain != own.domain;
-            let score = xxh3_64_with_seed(member.name.as_bytes(), seed);
-            let peer = Peer {
-                name: member.name.clone(),
-                hash,
-                address: member.row.peers,
-            };
-            ((is_avoided, is_far, score), peer)
+        let others: Vec<_> = others.collect();
+        let peers = others.iter().map(|member| path::Peer {
+            name: &member.name,
+            is_near: member.row.domain == own.domain,
+            is_avoided: node
+                .avoided_relays
+                .contains(name_hash(&member.name), &endpoint.service),
+        });
+        let peers: Vec<_> = peers.collect();
+        let ranked = path::rank_peers(&peers, seed).into_iter();
+        let ranked = ranked.map(|index| Peer {
+            name: others[index].name.clone(),
+            hash: name_hash(&others[index].name),
+            address: others[index].row.peers,
         });
         ranked.collect()
-    });
-    ranked.sort_by_key(|(rank, _)| *rank);
-    ranked.truncate(MAX_PEERS);
-    ranked.into_iter().map(|(_, peer)| peer).collect()
+    })
 }
 
 async fn ask(
