An endpoint that was not tried since nobody reaches it has not failed

While nobody reaches a service, requests fail at each endpoint at once, and each of these failures doubled the pause of the endpoint's breaker, up to 10 s, so that few endpoints would be used for some time after the end. These failures no longer count, and the log says that the endpoint was not tried.

--- a/crates/endpoint/src/attempt.rs
+++ b/crates/endpoint/src/attempt.rs
@@ -4,7 +4,6 @@
 
 use crate::{
     Failure,
-    Fault,
     Verdict, //
 };
 
@@ -85,7 +84,7 @@
 
     /// Records a failed attempt at the endpoint with this name.
     pub fn add_failure(&mut self, name: &Arc<str>, failure: Failure) {
-        self.reached_endpoint = !matches!(failure.fault, Fault::Connect(_));
+        self.reached_endpoint = !failure.fault.is_unconnected();
         if failure.verdict != Verdict::NotRun {
             self.runs += 1;
         }
--- a/crates/endpoint/src/verdict.rs
+++ b/crates/endpoint/src/verdict.rs
@@ -46,6 +46,13 @@
     }
 }
 
+impl Fault {
+    /// Whether there was no connection to the endpoint.
+    pub fn is_unconnected(&self) -> bool {
+        matches!(self, Fault::Connect(_) | Fault::Unreachable)
+    }
+}
+
 /// What went wrong at an endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Error)]
@@ -53,6 +60,9 @@
     /// The connection could not be made.
     #[error("no connection: {0}")]
     Connect(String),
+    /// No instance has lately connected to the endpoint, and it was not tried again.
+    #[error("no connection: no instance reaches the endpoint")]
+    Unreachable,
     /// The connection broke before the answer began.
     #[error("no answer: {0}")]
     NoAnswer(String),
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -212,7 +212,9 @@
             .connect(target, options(node, call), &dialer)
             .await
         {
-            selection.record_failure(node);
+            if failure.fault != Fault::Unreachable {
+                selection.record_failure(node);
+            }
             return Err(failure.to_string());
         }
         if !node.try_charge_retry(&call.service) {
@@ -356,7 +358,9 @@
         }
         if may_have_run {
             self.spend_charge();
-        } else if let (Fault::Connect(_), Some(trial)) = (&failure.fault, &mut self.trial) {
+        } else if let Some(trial) = &mut self.trial
+            && failure.fault.is_unconnected()
+        {
             trial.set_spent(false);
         }
         if matches!(failure.fault, Fault::WeightsExpired | Fault::LoadOverdue) {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -72,11 +72,10 @@
 
 impl<P: Protocol> Dial for Dialer<'_, P> {
     async fn open(&self, target: Target, timeout: Duration) -> Result<Connection, Failure> {
-        let deadline = Instant::now() + timeout;
         match self.node.paths.route(self.registration) {
-            Route::Direct => self.open_direct_first(target, deadline).await,
-            Route::Relayed => self.open_relayed_first(target, deadline).await,
-            Route::Unreachable => Err(not_connected(target, "no instance connects to it")),
+            Route::Direct => self.open_direct_first(target, timeout).await,
+            Route::Relayed => self.open_relayed_first(target, timeout).await,
+            Route::Unreachable => Err(unreachable(target)),
         }
     }
 
@@ -89,10 +88,11 @@
     async fn open_direct_first(
         &self,
         target: Target,
-        deadline: Instant,
+        timeout: Duration,
     ) -> Result<Connection, Failure> {
+        let deadline = Instant::now() + timeout;
         let (paths, endpoint) = (&self.node.paths, self.registration);
-        let mut direct = open_direct(target, deadline);
+        let mut direct: Direct = Box::pin(Connection::open(target, timeout));
         let failure = match tokio::time::timeout(HEAD_START, &mut direct).await {
             Ok(Ok(connection)) => {
                 paths.record_direct(endpoint);
@@ -141,17 +141,19 @@
     async fn open_relayed_first(
         &self,
         target: Target,
-        deadline: Instant,
+        timeout: Duration,
     ) -> Result<Connection, Failure> {
+        let deadline = Instant::now() + timeout;
         let (paths, endpoint) = (&self.node.paths, self.registration);
         match peers::open(self.node, endpoint, target, deadline).await {
             Ok(connection) => Ok(connection),
             Err(refusal) if refusal.is_confirmed => {
                 paths.record_unreachable(endpoint);
-                Err(not_connected(target, "no instance connects to it"))
+                Err(unreachable(target))
             }
             Err(_) => {
-                let connection = open_direct(target, deadline).await?;
+                let time_left = deadline.saturating_duration_since(Instant::now());
+                let connection = Connection::open(target, time_left).await?;
                 paths.record_direct(endpoint);
                 Ok(connection)
             }
@@ -177,11 +179,6 @@
     is_reached
 }
 
-fn open_direct(target: Target, deadline: Instant) -> Direct {
-    let time_left = deadline.saturating_duration_since(Instant::now());
-    Box::pin(Connection::open(target, time_left))
-}
-
 /// Records whether a direct connection is made after all.
 async fn judge(paths: Arc<Table>, endpoint: Registration, direct: Direct) {
     match direct.await {
@@ -190,10 +187,10 @@
     }
 }
 
-fn not_connected(target: Target, reason: &str) -> Failure {
+fn unreachable(target: Target) -> Failure {
     Failure {
         address: target.address,
         verdict: Verdict::NotRun,
-        fault: Fault::Connect(reason.to_owned()),
+        fault: Fault::Unreachable,
     }
 }
