A stream leaves a silent endpoint only for one that can be connected to now

A stream that has had no event for 2 s looks for another endpoint, and leaves once it is connected to that one. An idle connection to it was taken for this. If that connection was silent, too, the stream left an endpoint that was about to go on, and spent its other run on one that could not be reached.

Evidence: endpoint/tests/silence.rs, a_connection_that_is_asked_for_is_a_new_one, failed before with NoAnswer("connection error"): Pool::connect did nothing while a silent idle connection was there.

Pool::connect now always connects, and the new connection is the next to be used; if there are too many idle ones the oldest is closed in its place.

--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -271,16 +271,13 @@
         Ok(self.answer(connection, response, options.max_idle))
     }
 
-    /// Connects to the target unless there is an idle connection to it, and keeps the connection
-    /// for the next request.
+    /// Connects to the target and keeps the connection for the next request. Idle connections do
+    /// not show that the target can be reached.
     ///
     /// # Errors
     ///
     /// Always with [`Verdict::NotRun`], since nothing was sent.
     pub async fn connect(&self, target: Target, options: Options) -> Result<(), Failure> {
-        if self.idle.lock().has_ready(target.address) {
-            return Ok(());
-        }
         let connection = Connection::open(target, options.connect_timeout).await?;
         let connection = connection.with_id_header(self.id_header.clone());
         self.push_idle(connection, options.max_idle);
@@ -327,7 +324,11 @@
         }
     }
 
+    /// Keeps a connection in place of the oldest ones if there are too many.
     fn push_idle(&self, connection: Connection, max_idle: usize) {
+        if max_idle == 0 {
+            return;
+        }
         let address = connection.target().address;
         let since = Instant::now();
         let mut table = self.idle.lock();
@@ -340,9 +341,10 @@
             }
         };
         let idle = &mut table.entries[index].1;
-        if idle.len() < max_idle {
-            idle.push(Idle { connection, since });
+        if idle.len() >= max_idle {
+            idle.drain(..=idle.len() - max_idle);
         }
+        idle.push(Idle { connection, since });
     }
 }
 
@@ -351,11 +353,6 @@
         self.entries.binary_search_by_key(&address, |entry| entry.0)
     }
 
-    fn has_ready(&self, address: SocketAddr) -> bool {
-        self.find(address)
-            .is_ok_and(|index| self.entries[index].1.iter().any(Idle::is_ready))
-    }
-
     /// Closes expired connections to all endpoints, removed endpoints included.
     fn sweep(&mut self, now: Instant) {
         if self
--- a/crates/endpoint/tests/silence.rs
+++ b/crates/endpoint/tests/silence.rs
@@ -117,7 +117,8 @@
     let host = Host::start(start_endpoint().await).await.unwrap();
     let pool = Arc::new(Pool::default());
     let target = target(&host);
-    pool.connect(target, options(1)).await.unwrap();
+    // Leaves an idle connection.
+    send(&pool, target, options(1)).await.unwrap();
     let send = send(&pool, target, options(1));
     if matches!(moment, Moment::BeforeRequest) {
         host.set_silent(true).unwrap();
@@ -190,3 +191,24 @@
     assert!(matches!(unanswered.fault, Fault::Timeout), "{unanswered:?}");
     assert_eq!(send(TIMEOUT).await.unwrap(), "halfdone");
 }
+
+/// Guards against an endpoint that is taken for reachable since an idle connection to it is there,
+/// although that has fallen silent.
+#[tokio::test]
+async fn a_connection_that_is_asked_for_is_a_new_one() {
+    let host = Host::start(start_endpoint().await).await.unwrap();
+    let pool = Arc::new(Pool::default());
+    let target = target(&host);
+    send(&pool, target, options(1)).await.unwrap();
+    host.silence_connections().unwrap();
+    pool.connect(target, options(1)).await.unwrap();
+    let answer = send(&pool, target, options(1)).await;
+    assert_eq!(answer.unwrap(), "halfdone");
+    host.set_silent(true).unwrap();
+    let options = Options {
+        connect_timeout: PAUSE,
+        ..options(1)
+    };
+    let failure = pool.connect(target, options).await.unwrap_err();
+    assert!(matches!(failure.fault, Fault::Connect(_)), "{failure:?}");
+}
