Tell stopping instances of streams while there are few hubs

While most instances stop in turn, the only one that is not stopping is the only hub.

The hubs are at most three instances that are not stopping. While there are fewer, instances that stop are now told of streams in their place, and asked for them; they serve that until their end, and one that starts fetches the records from them anyway. Nobody gets more messages than before.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -68,7 +68,8 @@
 };
 pub use query::{
     other_hubs,
-    query, //
+    query,
+    record_keepers, //
 };
 pub use send::{
     send,
--- a/crates/router/src/exchange/query.rs
+++ b/crates/router/src/exchange/query.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use policy::hub::HUBS;
 use state::clock;
 use tokio::sync::oneshot;
 
@@ -61,3 +62,17 @@
     hubs.retain(|hub| *hub != node.config.listen.exchange);
     hubs
 }
+
+/// Addresses of the instances other than this one that keep the records of all streams: the hubs, and
+/// while there are fewer than usual, instances that are stopping.
+pub fn record_keepers<P: Protocol>(node: &Node<P>) -> Vec<SocketAddr> {
+    let now = clock::now();
+    let (_, mut keepers) = pick_hubs(node, &node.members.live(now));
+    if keepers.len() < HUBS {
+        let (_, stopping) = pick_hubs(node, &node.members.stopping(now));
+        keepers.extend(stopping);
+        keepers.truncate(HUBS);
+    }
+    keepers.retain(|keeper| *keeper != node.config.listen.exchange);
+    keepers
+}
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -257,6 +257,15 @@
         filter_live(&self.members.read(), now)
     }
 
+    /// Instances that are stopping and still run, sorted by name.
+    pub fn stopping(&self, now: Duration) -> Vec<Member> {
+        let members = self.members.read();
+        let stopping = members
+            .iter()
+            .filter(|member| member.is_leaving() && is_running(member, now));
+        stopping.cloned().collect()
+    }
+
     /// Instances other than `own` that may serve requests, and so have a share of the limits.
     pub fn others(&self, own: &str, now: Duration) -> Vec<Member> {
         let members = self.members.read();
@@ -278,7 +287,9 @@
 }
 
 fn is_live(member: &Member, now: Duration) -> bool {
-    !member.is_leaving()
-        && member.seen_at >= member.gone_until
-        && now.saturating_sub(member.seen_at) <= LIVE_HORIZON
+    !member.is_leaving() && is_running(member, now)
+}
+
+fn is_running(member: &Member, now: Duration) -> bool {
+    member.seen_at >= member.gone_until && now.saturating_sub(member.seen_at) <= LIVE_HORIZON
 }
--- a/crates/router/src/origin.rs
+++ b/crates/router/src/origin.rs
@@ -259,7 +259,7 @@
     );
 }
 
-/// Tells the hubs of the streams that have begun.
+/// Tells the hubs of the streams that have begun, or instances that stop in the place of hubs.
 async fn report<P: Protocol>(node: &Node<P>) {
     let mut intervals: u32 = 0;
     loop {
@@ -271,7 +271,10 @@
         }
         let streams = take_unreported(node, mixed);
         for streams in streams.chunks(MAX_REPORTED) {
-            exchange::send_to_hubs(node, &Message::Origins(Origins::group(streams))).await;
+            let message = Message::Origins(Origins::group(streams));
+            for keeper in exchange::record_keepers(node) {
+                exchange::send(node, &message, keeper).await;
+            }
         }
     }
 }
@@ -293,13 +296,13 @@
     let now = clock::now();
     let horizon = node.record_horizon();
     let is_writer = writer_rank(node).is_some();
-    let has_hub = is_writer || !exchange::other_hubs(node).is_empty();
+    let has_keeper = is_writer || !exchange::record_keepers(node).is_empty();
     let mut state = node.origins.state.lock();
     state.own.expire(now, horizon);
     state.known.expire(now, horizon);
     state.saved.expire(now, horizon);
     state.set_mixed(mixed, now);
-    if !has_hub {
+    if !has_keeper {
         return Vec::new();
     }
     if !is_writer {
--- a/crates/router/src/origin/take_up.rs
+++ b/crates/router/src/origin/take_up.rs
@@ -111,7 +111,7 @@
 ) -> Option<(Arc<Origin>, Source)> {
     let sole = sole_origin(node, call);
     let service = sole.as_ref().map(|origin| origin.service.to_string());
-    let hubs = exchange::other_hubs(node);
+    let hubs = exchange::record_keepers(node);
     let query = |hub| {
         let service = service.clone();
         let request = |id| {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -132,7 +132,7 @@
     BUILDS_RECORDED = 425;
     /// A caller takes a stream up; it goes on only at endpoints of the service and build that began it.
     STREAM_TAKEN_UP = 426;
-    /// Nothing is known of the begin of a stream that a caller takes up, and several builds may have begun it; names the hubs that were asked and those that answered, by number.
+    /// Nothing is known of the begin of a stream that a caller takes up, and several builds may have begun it; names the instances that were asked and those that answered, by number.
     STREAM_UNKNOWN = 430;
     /// The table did not take the records of streams of an instance that stops; other instances know them only as far as they were told.
     STREAMS_UNSAVED = 431;
