Keep one owner of each limit while all instances stop

Tenants got more than their rate while all instances were stopping, as in stops in turn that overlap: each instance granted the whole rate. In the test 13,300 tokens ran in a window that may have 9,900.

The owner of a limit is the first of the live instances, which are not stopping. While there is none, each instance took itself for the owner; the same holds for limits that endpoints state, and requests had no planner. The class is that of the records of streams which nobody kept then: what instances choose among those that are not stopping has no holder when all stop.

While no instance is live, the choice is now made among those that stop and still run.

--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -232,11 +232,13 @@
         filter_live(&members, reference)
     }
 
-    /// Calls `read` with the live instances, sorted by name.
+    /// Calls `read` with the live instances, sorted by name; while there is none, with those that are
+    /// stopping and still run.
     pub fn with_live<T>(&self, now: Duration, read: impl FnOnce(&[&Member]) -> T) -> T {
         let members = self.members.read();
-        let live = members.iter().filter(|member| is_live(member, now));
-        read(&live.collect::<Vec<_>>())
+        let running = members.iter().filter(|member| is_running(member, now));
+        let (stopping, live): (Vec<_>, Vec<_>) = running.partition(|member| member.is_leaving());
+        read(if live.is_empty() { &stopping } else { &live })
     }
 
     /// Time since which the set of live instances and their incarnations is unchanged.
--- a/crates/router/src/limit.rs
+++ b/crates/router/src/limit.rs
@@ -191,7 +191,7 @@
             .map(|member| Candidate {
                 name: &member.name,
                 domain: "",
-                leaving: member.is_leaving(),
+                leaving: false,
             })
             .collect();
         let order = rank::rank(endpoint, &candidates);
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -449,7 +449,7 @@
             .map(|member| Candidate {
                 name: &member.name,
                 domain: "",
-                leaving: member.is_leaving(),
+                leaving: false,
             })
             .collect();
         let index = rank::first(workspace, &candidates)?;
