--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -232,11 +232,13 @@
         filter_live(&members, reference)
     }
 
-    /// Calls `read` with the live instances, sorted by name.
+    /// Calls `read` with the live instances, sorted by name; while there is none, with those that are
+    /// stopping and still run.
     pub fn with_live<T>(&self, now: Duration, read: impl FnOnce(&[&Member]) -> T) -> T {
         let members = self.members.read();
-        let live = members.iter().filter(|member| is_live(member, now));
-        read(&live.collect::<Vec<_>>())
+        let running = members.iter().filter(|member| is_running(member, now));
+        let (stopping, live): (Vec<_>, Vec<_>) = running.partition(|member| member.is_leaving());
+        read(if live.is_empty() { &stopping } else { &live })
     }
 
     /// Time since which the set of live instances and their incarnations is unchanged.
@@ -257,6 +259,15 @@
         filter_live(&self.members.read(), now)
     }
 
+    /// Instances that are stopping and still run, sorted by name.
+    pub fn stopping(&self, now: Duration) -> Vec<Member> {
+        let members = self.members.read();
+        let stopping = members
+            .iter()
+            .filter(|member| member.is_leaving() && is_running(member, now));
+        stopping.cloned().collect()
+    }
+
     /// Instances other than `own` that may serve requests, and so have a share of the limits.
     pub fn others(&self, own: &str, now: Duration) -> Vec<Member> {
         let members = self.members.read();
@@ -278,7 +289,9 @@
 }
 
 fn is_live(member: &Member, now: Duration) -> bool {
-    !member.is_leaving()
-        && member.seen_at >= member.gone_until
-        && now.saturating_sub(member.seen_at) <= LIVE_HORIZON
+    !member.is_leaving() && is_running(member, now)
+}
+
+fn is_running(member: &Member, now: Duration) -> bool {
+    member.seen_at >= member.gone_until && now.saturating_sub(member.seen_at) <= LIVE_HORIZON
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -138,7 +138,7 @@
     ENDPOINT_DIRECT = 428;
     /// Neither this instance nor another one can connect to an endpoint; requests fail there at once until one can.
     ENDPOINT_UNREACHABLE = 429;
-    /// Nothing is known of the begin of a stream that a caller takes up, and several builds may have begun it; names the hubs that were asked and those that answered, by number.
+    /// Nothing is known of the begin of a stream that a caller takes up, and several builds may have begun it; names the instances that were asked and those that answered, by number.
     STREAM_UNKNOWN = 430;
     /// The table did not take the records of streams of an instance that stops; other instances know them only as far as they were told.
     STREAMS_UNSAVED = 431;
