A failure to connect does not mark an endpoint for other instances

Callers of sound instances were refused ("so much work waits that the answer would begin late") while other instances were partitioned from the engines.

Cause: an instance reported a failure to connect to the planner as a failure of the engine, which opened the engine's breaker there, for all. The planner's own failures did the same. Each further report doubled the pause, and the probe after it was often given to a cut instance again. So few engines were left for everybody's work, and on these the work piled up. Besides, what was placed for a cut instance counted in the planner's queues for 250 ms each time.

Change: failures to connect drive a breaker of their own, which only this instance's own requests look at. The instance names what it cannot connect to as excluded when it asks the planner; the planner plans for others regardless of its own paths. Requests that try such an endpoint again are not placed by the planner. What was placed and not connected is reported as rejected, so that the planner removes it and its beliefs without judging; older builds know this, too.

--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -27,6 +27,11 @@
         self.failures == 0 || now >= self.open_until
     }
 
+    /// Whether there are failures, and a probe may be sent now.
+    pub fn is_probe_due(&self, now: Millis) -> bool {
+        self.failures > 0 && self.allows(now)
+    }
+
     /// Records that a request is sent. After failures it is a probe, and no other request follows
     /// it before the pause has passed again.
     pub fn record_sent(&mut self, now: Millis) {
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -55,8 +55,10 @@
     pub link: Backlog,
     /// Tokens that were recently sent to the endpoint.
     pub inflow: Inflow,
-    /// Circuit breaker, driven by consecutive failures.
+    /// Circuit breaker, driven by consecutive failures of the endpoint, whoever saw them.
     pub breaker: Breaker,
+    /// Circuit breaker, driven by consecutive failures of this instance to connect.
+    pub path: Breaker,
     /// Rest for which the endpoint has asked.
     pub rest: Rest,
     /// Limit that the endpoint has stated.
@@ -73,6 +75,7 @@
             link: Backlog::default(),
             inflow: Inflow::default(),
             breaker: Breaker::default(),
+            path: Breaker::default(),
             rest: Rest::default(),
             limit: Limit::default(),
         }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -207,7 +207,7 @@
         let selection = selection.map_err(|refusal| refusal.message)?;
         let target = selection.target();
         if let Err(failure) = node.pool.connect(target, options(node, call)).await {
-            selection.record_failure(node);
+            selection.record_unreachable(node);
             return Err(failure.to_string());
         }
         if !node.try_charge_retry(&call.service) {
@@ -355,8 +355,10 @@
         }
         if matches!(failure.fault, Fault::WeightsExpired | Fault::LoadOverdue) {
             selection.record_rejection(node);
-        } else if may_have_run || matches!(failure.fault, Fault::Connect(_)) {
+        } else if may_have_run {
             selection.record_failure(node);
+        } else if matches!(failure.fault, Fault::Connect(_)) {
+            selection.record_unreachable(node);
         }
     }
 
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -2,6 +2,7 @@
 
 pub mod decide;
 mod prefix_store;
+pub mod reach;
 
 use std::{
     net::SocketAddr,
@@ -120,7 +121,9 @@
 ) -> Result<(Decision, Option<Ticket>), Refusal> {
     let mut placement = Placement::Unplanned;
     let is_planned = node.config.choice == Choice::Planned;
-    if is_planned && query.engine().is_some() {
+    let is_planned = is_planned && query.engine().is_some();
+    // What may not get there is not placed, since it would count as waiting work for all instances.
+    if is_planned && !reach::is_probe_due(node, query) {
         placement = planner::place(node, query, must_place).await;
     }
     match placement {
@@ -179,6 +182,7 @@
     let now = node.beliefs.now();
     health.update_estimate(|estimate| {
         estimate.breaker.record_sent(now);
+        estimate.path.record_sent(now);
         estimate.rest.record_sent(now);
     });
     let levels = query.chain.hashes();
@@ -280,6 +284,7 @@
         node.observed.record_start(service, class, delay);
         self.health
             .update_estimate(|estimate| estimate.breaker.record_success());
+        self.record_connection();
         self.guard.record_first_token();
         self.report_outcome(End::Began);
     }
@@ -339,6 +344,7 @@
     });
     newer.any(|other| {
         let health = node.health.endpoint(&other.registration.name);
-        health.view(&version_text(other.version()), now).usable
+        let view = health.view(&version_text(other.version()), now);
+        view.usable && view.reachable
     })
 }
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -38,7 +38,13 @@
     health, //
 };
 
-use super::prefix_store;
+use super::{
+    prefix_store,
+    reach::{
+        self,
+        Sender, //
+    }, //
+};
 use crate::{
     catalog::{
         Catalog,
@@ -90,6 +96,8 @@
     pub tried: &'a [Arc<str>],
     /// The only build that can serve the request, if it continues a stream.
     pub build: Option<&'a str>,
+    /// Instance that sends the request.
+    pub sender: Sender,
 }
 
 /// Instances whose requests the decision accounts for.
@@ -144,6 +152,7 @@
             chain,
             tried,
             build: call.origin.as_ref().map(|origin| &*origin.build),
+            sender: Sender::This,
         }
     }
 
@@ -167,6 +176,7 @@
 pub fn decide<P: Protocol>(node: &Node<P>, query: &Query<'_>, scope: Scope) -> Option<Decision> {
     let now = node.beliefs.now();
     let mut eligible = eligible_endpoints(node, query, now);
+    reach::retain(&mut eligible, query, scope, now);
     // Fall back to endpoints that may be down if there are no others.
     if eligible.iter().any(|e| e.view.usable) {
         eligible.retain(|e| e.view.usable);
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -8,6 +8,7 @@
 //! the answer against its own view of the endpoint, and decides by itself while
 //! the planner does not answer.
 
+mod exclusion;
 mod queues;
 
 use std::{
@@ -47,11 +48,14 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    choose::decide::{
-        self,
-        Decision,
-        Query,
-        Scope, //
+    choose::{
+        decide::{
+            self,
+            Decision,
+            Query,
+            Scope, //
+        },
+        reach::Sender, //
     },
     exchange,
     message::{
@@ -72,8 +76,6 @@
 
 /// Timeout for the planner's answer: many round trips within a region.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
-/// Maximum number of endpoints that a request to a planner excludes beyond those that were tried.
-const MAX_EXCLUDED: usize = 32;
 /// Consecutive missing answers after which the planner is not asked for a while. More than one,
 /// since a single datagram may be lost.
 const MAX_MISSES: u32 = 2;
@@ -289,7 +291,9 @@
         return Placement::Unplanned;
     }
     let pace = node.planner.queues.learned_pace(query.service);
-    let excluded = excluded_here(node, query);
+    let Some(excluded) = exclusion::names(node, query) else {
+        return Placement::Unplanned;
+    };
     let message = |id| {
         let placement = placement_request(query, &excluded, id, must_place, pace);
         match query.build {
@@ -321,21 +325,6 @@
     Placement::Unplanned
 }
 
-/// Endpoints to which this instance sends nothing new, which the planner may not know.
-fn excluded_here<P: Protocol>(node: &Node<P>, query: &Query<'_>) -> Vec<Arc<str>> {
-    let fleet = node.endpoints.fleet();
-    let endpoints = fleet.of_service(query.service).iter();
-    let now = node.beliefs.now();
-    let names = endpoints
-        .filter(|e| {
-            let pause = node.estimate_of(e).pause(query.is_urgent(), now);
-            e.registration.leaving || !pause.is_zero()
-        })
-        .map(|endpoint| &endpoint.registration.name)
-        .filter(|name| !query.tried.contains(*name));
-    names.take(MAX_EXCLUDED).cloned().collect()
-}
-
 fn placement_request(
     query: &Query<'_>,
     excluded: &[Arc<str>],
@@ -440,6 +429,7 @@
         chain: &chain,
         tried: &tried,
         build,
+        sender: Sender::Other,
     };
     let response_to = |to| PlacementResponse {
         id: request.id,
--- a/crates/router/src/states.rs
+++ b/crates/router/src/states.rs
@@ -30,7 +30,10 @@
                 counts.push((service, [0; 4]));
             }
             let health = self.health.find(&endpoint.registration.name);
-            let is_usable = health.is_none_or(|health| health.view("", now).usable);
+            let is_usable = health.is_none_or(|health| {
+                let view = health.view("", now);
+                view.usable && view.reachable
+            });
             let state = match () {
                 () if endpoint.registration.leaving => 0,
                 () if endpoint.is_loading() => 1,
--- a/crates/state/src/health.rs
+++ b/crates/state/src/health.rs
@@ -63,8 +63,10 @@
     pub holder: Holder,
     /// Estimates for the endpoint.
     pub estimate: Estimate,
-    /// Whether requests for the wanted version may be sent there now.
+    /// Whether requests for the wanted version may be sent there now, by those who can connect.
     pub usable: bool,
+    /// Whether this instance can connect, as far as it knows.
+    pub reachable: bool,
     /// Whether it last reported a version other than the wanted one.
     pub version_mismatch: bool,
 }
@@ -84,6 +86,7 @@
                 && !state.version.is_empty()
                 && state.version != version,
             usable: !rejected && state.estimate.breaker.allows(now),
+            reachable: state.estimate.path.failures() == 0,
         }
     }
 
