Endpoints are tried again at once when a connection shows that a cut has ended

After a cut an instance sent nearly all of its work to the first engine that answered it again: the pauses before the others were tried had grown to as long as the cut had lasted, up to 10 s.

The end of a pause has a unit test.

Change: the first connection that succeeds at an endpoint that could not be reached ends the pauses of the service's other endpoints; the next pause of each is the shortest one, so endpoints that are down cost one more try.

--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -51,6 +51,12 @@
         self.open_until = now + self.pause();
     }
 
+    /// Ends the pause, since what caused the failures may have ended; the next pause is the shortest.
+    pub fn end_pause(&mut self, now: Millis) {
+        self.failures = self.failures.min(1);
+        self.open_until = self.open_until.min(now);
+    }
+
     /// Number of consecutive failures.
     pub fn failures(&self) -> u32 {
         self.failures
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -305,6 +305,25 @@
     assert!(breaker.allows(60_000));
 }
 
+/// Guards against endpoints that are avoided for long after the fault of a network has ended.
+#[test]
+fn an_ended_pause_lets_a_probe_through_and_begins_anew_with_the_shortest() {
+    let mut breaker = Breaker::default();
+    assert!(!breaker.is_probe_due(0));
+    for _ in 0..10 {
+        breaker.record_failure(0);
+    }
+    assert!(!breaker.is_probe_due(9_000));
+    breaker.end_pause(1_000);
+    assert!(breaker.is_probe_due(1_000));
+    breaker.record_sent(1_000);
+    assert!(!breaker.is_probe_due(1_249));
+    assert!(breaker.is_probe_due(1_250));
+    breaker.record_success();
+    breaker.end_pause(2_000);
+    assert!(breaker.allows(2_000) && !breaker.is_probe_due(2_000));
+}
+
 #[test]
 fn retries_stay_within_a_fifth_of_the_requests() {
     let mut budget = Budget::default();
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -284,7 +284,7 @@
         node.observed.record_start(service, class, delay);
         self.health
             .update_estimate(|estimate| estimate.breaker.record_success());
-        self.record_connection();
+        self.record_connection(node);
         self.guard.record_first_token();
         self.report_outcome(End::Began);
     }
--- a/crates/router/src/choose/reach.rs
+++ b/crates/router/src/choose/reach.rs
@@ -65,10 +65,23 @@
 }
 
 impl Selection {
-    /// Records that this instance could connect to the endpoint.
-    pub(super) fn record_connection(&self) {
-        self.health
-            .update_estimate(|estimate| estimate.path.record_success());
+    /// Records that this instance could connect to the endpoint. If it could not before, other
+    /// endpoints that it could not connect to may be tried again at once.
+    pub(super) fn record_connection<P: Protocol>(&self, node: &Node<P>) {
+        let mut had_failed = false;
+        self.health.update_estimate(|estimate| {
+            had_failed = estimate.path.failures() > 0;
+            estimate.path.record_success();
+        });
+        if !had_failed {
+            return;
+        }
+        let now = node.beliefs.now();
+        let fleet = node.endpoints.fleet();
+        for endpoint in fleet.of_service(&self.endpoint.registration.service) {
+            let health = node.health.endpoint(&endpoint.registration.name);
+            health.update_estimate(|estimate| estimate.path.end_pause(now));
+        }
     }
 
     /// Records that this instance could not connect to the endpoint.
