--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -32,12 +32,14 @@
         Service, //
     },
     node::Node,
+    origin,
     peer,
     protocol::Protocol,
     refusal::{
         Reason,
         Refusal, //
     },
+    relay,
     stream::{
         self,
         millis, //
@@ -234,13 +236,20 @@
 }
 
 impl<P: Protocol> Service for Peers<P> {
+    const UPGRADES: bool = true;
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path();
+        if path == relay::PATH {
+            return relay::serve(&self.0, request).await;
+        }
         if path == peer::STATE_PATH {
             return json(self.0.export().encode());
         }
-        let answer = peer::answer_in_force(&self.0, path);
-        match answer.or_else(|| peer::answer_changes(&self.0, path)) {
+        let answer = peer::answer_in_force(&self.0, path)
+            .or_else(|| peer::answer_changes(&self.0, path))
+            .or_else(|| origin::answer_records(&self.0, path));
+        match answer {
             Some(changes) => Response::new(Body::full(changes)),
             None => status(StatusCode::NOT_FOUND),
         }
