An endpoint that no instance reaches is avoided by all again

Since failures to connect do not mark an endpoint for other instances, each instance had to find out by itself, and again after each pause, that an endpoint is down: a request of each was delayed, with a silent host by up to 250 ms.

Test: path::planner_cut::an_engine_that_no_instance_reaches_is_avoided_by_those_ that_have_not_tried: one of four instances fails there four times, then the others send 24 requests, of which one may fail to connect.

Change: if a peer that was asked to relay the connection could not connect either, the failure is reported as one of the endpoint, as before.

--- a/crates/router/src/choose/reach.rs
+++ b/crates/router/src/choose/reach.rs
@@ -2,10 +2,13 @@
 //!
 //! A network fault may part one instance from endpoints that the others reach. So a failure to connect
 //! tells something about the instance rather than about the endpoint, and is not reported to the
-//! planner as a failure of the endpoint: each instance avoids what it could not connect to, and tries it
-//! again from time to time.
+//! planner as a failure of the endpoint unless another instance has failed, too. Each instance avoids
+//! what it could not connect to, and tries it again from time to time.
 
-use policy::belief::Millis;
+use policy::{
+    belief::Millis,
+    path::Route, //
+};
 
 use super::{
     Selection,
@@ -84,12 +87,17 @@
         }
     }
 
-    /// Records that this instance could not connect to the endpoint.
+    /// Records that this instance could not connect to the endpoint. If another instance could not
+    /// either, the endpoint counts as failed for all.
     pub fn record_unreachable<P: Protocol>(&self, node: &Node<P>) {
         let now = node.beliefs.now();
-        node.beliefs.lower(&self.levels, self.holder);
         self.health
             .update_estimate(|estimate| estimate.path.record_failure(now));
-        self.report_outcome(End::Rejected);
+        if node.paths.route(&self.endpoint.registration) == Route::Unreachable {
+            self.record_failure(node);
+        } else {
+            node.beliefs.lower(&self.levels, self.holder);
+            self.report_outcome(End::Rejected);
+        }
     }
 }
