--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -9,7 +9,6 @@
 mod serve;
 
 use std::{
-    pin::Pin,
     sync::Arc,
     time::Duration, //
 };
@@ -58,9 +57,6 @@
 /// region.
 const HEAD_START: Duration = Duration::from_millis(40);
 
-/// A direct connection that is being made.
-type Direct = Pin<Box<dyn Future<Output = Result<Connection, Failure>> + Send>>;
-
 /// Opens connections to one endpoint, through other instances where the direct path is cut.
 #[derive(Debug)]
 pub struct Dialer<'a, P> {
@@ -75,7 +71,7 @@
         match self.node.paths.route(self.registration) {
             Route::Direct => self.open_direct_first(target, timeout).await,
             Route::Relayed => self.open_relayed_first(target, timeout).await,
-            Route::Unreachable => Err(unreachable(target)),
+            Route::Unreachable => Err(not_connected(target, Fault::Unreachable)),
         }
     }
 
@@ -92,7 +88,7 @@
     ) -> Result<Connection, Failure> {
         let deadline = Instant::now() + timeout;
         let (paths, endpoint) = (&self.node.paths, self.registration);
-        let mut direct: Direct = Box::pin(Connection::open(target, timeout));
+        let mut direct = Box::pin(Connection::open(target, timeout));
         let failure = match tokio::time::timeout(HEAD_START, &mut direct).await {
             Ok(Ok(connection)) => {
                 paths.record_direct(endpoint);
@@ -149,7 +145,8 @@
             Ok(connection) => Ok(connection),
             Err(refusal) if refusal.is_confirmed => {
                 paths.record_unreachable(endpoint);
-                Err(unreachable(target))
+                let reason = "other instances do not reach the endpoint either".to_owned();
+                Err(not_connected(target, Fault::Connect(reason)))
             }
             Err(_) => {
                 let time_left = deadline.saturating_duration_since(Instant::now());
@@ -180,17 +177,21 @@
 }
 
 /// Records whether a direct connection is made after all.
-async fn judge(paths: Arc<Table>, endpoint: Registration, direct: Direct) {
+async fn judge(
+    paths: Arc<Table>,
+    endpoint: Registration,
+    direct: impl Future<Output = Result<Connection, Failure>>,
+) {
     match direct.await {
         Ok(_) => paths.record_direct(&endpoint),
         Err(_) => paths.record_relayed(&endpoint),
     }
 }
 
-fn unreachable(target: Target) -> Failure {
+fn not_connected(target: Target, fault: Fault) -> Failure {
     Failure {
         address: target.address,
         verdict: Verdict::NotRun,
-        fault: Fault::Unreachable,
+        fault,
     }
 }
