--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -27,6 +27,11 @@
         self.failures == 0 || now >= self.open_until
     }
 
+    /// Whether there are failures, and a probe may be sent now.
+    pub fn is_probe_due(&self, now: Millis) -> bool {
+        self.failures > 0 && self.allows(now)
+    }
+
     /// Records that a request is sent. After failures it is a probe, and no other request follows
     /// it before the pause has passed again.
     pub fn record_sent(&mut self, now: Millis) {
@@ -46,6 +51,12 @@
         self.open_until = now + self.pause();
     }
 
+    /// Ends the pause, since what caused the failures may have ended; the next pause is the shortest.
+    pub fn end_pause(&mut self, now: Millis) {
+        self.failures = self.failures.min(1);
+        self.open_until = self.open_until.min(now);
+    }
+
     /// Number of consecutive failures.
     pub fn failures(&self) -> u32 {
         self.failures
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -212,8 +212,9 @@
             .connect(target, options(node, call), &dialer)
             .await
         {
-            if failure.fault != Fault::Unreachable {
-                selection.record_failure(node);
+            match failure.fault {
+                Fault::Unreachable => selection.record_rejection(node),
+                _ => selection.record_unreachable(node),
             }
             return Err(failure.to_string());
         }
@@ -363,10 +364,15 @@
         {
             trial.set_spent(false);
         }
-        if matches!(failure.fault, Fault::WeightsExpired | Fault::LoadOverdue) {
+        if matches!(
+            failure.fault,
+            Fault::WeightsExpired | Fault::LoadOverdue | Fault::Unreachable
+        ) {
             selection.record_rejection(node);
-        } else if may_have_run || matches!(failure.fault, Fault::Connect(_)) {
+        } else if may_have_run {
             selection.record_failure(node);
+        } else if matches!(failure.fault, Fault::Connect(_)) {
+            selection.record_unreachable(node);
         }
     }
 
--- a/crates/router/src/relay/probe.rs
+++ b/crates/router/src/relay/probe.rs
@@ -58,13 +58,15 @@
 
 /// Whether a direct connection can be made.
 async fn probe<P: Protocol>(node: &Node<P>, endpoint: &Registration, route: Route) -> bool {
-    let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(endpoint.address));
-    if let Ok(Ok(_)) = connected.await {
+    let connect = TcpStream::connect(endpoint.address);
+    let connected = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
+    let is_direct = matches!(connected, Ok(Ok(_)));
+    if is_direct {
         node.paths.record_direct(endpoint);
-        return true;
     }
-    if route == Route::Unreachable {
-        is_reached(node, endpoint, PROBE_TIMEOUT).await;
+    if is_direct || route == Route::Unreachable && is_reached(node, endpoint, PROBE_TIMEOUT).await {
+        let health = node.health.endpoint(&endpoint.name);
+        health.update_estimate(|estimate| estimate.path.record_success());
     }
-    false
+    is_direct
 }
