--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -212,7 +212,7 @@
             .connect(target, options(node, call), &dialer)
             .await
         {
-            selection.record_unreachable(node);
+            selection.record_unreachable(node, &failure.fault);
             return Err(failure.to_string());
         }
         if !node.try_charge_retry(&call.service) {
@@ -356,15 +356,17 @@
         }
         if may_have_run {
             self.spend_charge();
-        } else if let (Fault::Connect(_), Some(trial)) = (&failure.fault, &mut self.trial) {
+        } else if let Some(trial) = &mut self.trial
+            && failure.fault.is_unconnected()
+        {
             trial.set_spent(false);
         }
         if matches!(failure.fault, Fault::WeightsExpired | Fault::LoadOverdue) {
             selection.record_rejection(node);
         } else if may_have_run {
             selection.record_failure(node);
-        } else if matches!(failure.fault, Fault::Connect(_)) {
-            selection.record_unreachable(node);
+        } else if failure.fault.is_unconnected() {
+            selection.record_unreachable(node, &failure.fault);
         }
     }
 
