--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -212,10 +212,7 @@
             .connect(target, options(node, call), &dialer)
             .await
         {
-            match failure.fault {
-                Fault::Unreachable => selection.record_rejection(node),
-                _ => selection.record_unreachable(node),
-            }
+            selection.record_unreachable(node, &failure.fault);
             return Err(failure.to_string());
         }
         if !node.try_charge_retry(&call.service) {
@@ -364,15 +361,12 @@
         {
             trial.set_spent(false);
         }
-        if matches!(
-            failure.fault,
-            Fault::WeightsExpired | Fault::LoadOverdue | Fault::Unreachable
-        ) {
+        if matches!(failure.fault, Fault::WeightsExpired | Fault::LoadOverdue) {
             selection.record_rejection(node);
         } else if may_have_run {
             selection.record_failure(node);
-        } else if matches!(failure.fault, Fault::Connect(_)) {
-            selection.record_unreachable(node);
+        } else if failure.fault.is_unconnected() {
+            selection.record_unreachable(node, &failure.fault);
         }
     }
 
--- a/crates/router/src/choose/reach.rs
+++ b/crates/router/src/choose/reach.rs
@@ -5,6 +5,7 @@
 //! planner as a failure of the endpoint unless another instance has failed, too. Each instance avoids
 //! what it could not connect to, and tries it again from time to time.
 
+use endpoint::Fault;
 use policy::{
     belief::Millis,
     path::Route, //
@@ -88,12 +89,17 @@
     }
 
     /// Records that this instance could not connect to the endpoint. If another instance could not
-    /// either, the endpoint counts as failed for all.
-    pub fn record_unreachable<P: Protocol>(&self, node: &Node<P>) {
+    /// either, the endpoint counts as failed for all. An endpoint that was not tried is avoided, but not
+    /// for longer and longer.
+    pub fn record_unreachable<P: Protocol>(&self, node: &Node<P>, fault: &Fault) {
         let now = node.beliefs.now();
-        self.health
-            .update_estimate(|estimate| estimate.path.record_failure(now));
-        if node.paths.route(&self.endpoint.registration) == Route::Unreachable {
+        let was_tried = *fault != Fault::Unreachable;
+        self.health.update_estimate(|estimate| {
+            if was_tried || estimate.path.failures() == 0 {
+                estimate.path.record_failure(now);
+            }
+        });
+        if was_tried && node.paths.route(&self.endpoint.registration) == Route::Unreachable {
             self.record_failure(node);
         } else {
             node.beliefs.lower(&self.levels, self.holder);
