Bulkhead of a brittle endpoint: grants of room in use

A pure limit on the requests that all instances have in flight at an endpoint. It begins at the slots that the endpoint registers, decreases to what was in flight at a rejection, by half at most, and increases slowly; beyond what is confirmed, requests are granted no faster than rejections are heard of. It is not used yet but for the pause in the estimate, which stays zero.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod belief;
 pub mod breaker;
 pub mod build;
+pub mod bulkhead;
 pub mod cell;
 pub mod choice;
 pub mod delay;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -81,9 +81,13 @@
 }
 
 impl Role {
+    /// Whether it is the first by its own view, and no other one has been for some time.
+    pub fn is_settled(self, now: Duration) -> bool {
+        self.is_first && now.saturating_sub(self.since) >= HANDOVER_TIME
+    }
+
     fn fraction(self, now: Duration) -> f64 {
-        let is_settled = now.saturating_sub(self.since) >= HANDOVER_TIME;
-        let fraction = match (self.is_first, is_settled) {
+        let fraction = match (self.is_first, self.is_settled(now)) {
             (true, true) => 1.0,
             (true, false) => HANDOVER_FRACTION,
             (false, _) => DEPUTY_FRACTION,
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -6,6 +6,7 @@
     backlog::Backlog,
     belief::Millis,
     breaker::Breaker,
+    bulkhead::Brittle,
     inflow::Inflow,
     limit::Limit,
     rest::Rest, //
@@ -61,6 +62,8 @@
     pub rest: Rest,
     /// Limit that the endpoint has stated.
     pub limit: Limit,
+    /// Whether the endpoint has stated that it is brittle.
+    pub brittle: Brittle,
 }
 
 impl Default for Estimate {
@@ -75,6 +78,7 @@
             breaker: Breaker::default(),
             rest: Rest::default(),
             limit: Limit::default(),
+            brittle: Brittle::default(),
         }
     }
 }
@@ -84,6 +88,7 @@
     pub fn forget_statements(&mut self) {
         self.rest = Rest::default();
         self.limit = Limit::default();
+        self.brittle = Brittle::default();
     }
 
     /// Time for which the endpoint wants no request of this instance, or takes none; zero if one may
@@ -91,6 +96,7 @@
     pub fn pause(&self, urgent: bool, now: Millis) -> Duration {
         let rest = self.rest.remaining(now);
         rest.max(self.limit.remaining(urgent, now))
+            .max(self.brittle.remaining(now))
     }
 
     /// Records a response whose first token arrived `seconds` after the request was sent, which
