Brittle endpoints: one instance grants the room that all use together

Callers saw most requests fail while the workers of a service were brittle: all workers fell over in turn, and again as soon as each was back. Cause: the router did not read Server-Brittle, and each instance sent as if it were alone; what was rejected at one worker went to the next.

While an endpoint is brittle, each request to it is granted by the first instance in rendezvous order, from what all instances report to have in flight there (policy::bulkhead). The statement is decoded once, and hubs pass it on, so that instances and workers that start are bound by it at once. If no endpoint has room, the request is refused as not run. Without a statement nothing is sent or counted. New datagrams are at the end of the message type; older builds drop them.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -22,6 +22,7 @@
 use connection::options;
 
 use crate::{
+    bulkhead,
     choose::{
         self,
         Selection, //
@@ -271,6 +272,9 @@
             if reply.authentic || reply.rejection.is_some() || statement.limit.is_some() {
                 node.record_limit(registration, statement.limit);
             }
+            if reply.authentic || reply.rejection.is_some() || statement.brittle.is_some() {
+                bulkhead::record_statement(node, registration, statement.brittle);
+            }
         }
         let failure = |verdict| Failure {
             address: target.address,
@@ -299,7 +303,11 @@
         rejection: Rejection,
     ) {
         match rejection {
-            Rejection::Busy | Rejection::Malformed => selection.record_rejection(node),
+            Rejection::Busy => {
+                selection.record_full(node);
+                selection.record_rejection(node);
+            }
+            Rejection::Malformed => selection.record_rejection(node),
             Rejection::WeightsMismatch => selection.record_weights_mismatch(node),
             Rejection::EndpointMismatch => selection.record_failure(node),
         }
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -31,6 +31,10 @@
 };
 
 use crate::{
+    bulkhead::{
+        self,
+        Permit, //
+    },
     config::Choice,
     fleet::Endpoint,
     limit,
@@ -86,6 +90,8 @@
     ticket: Option<Ticket>,
     /// Whether the answer has shown that the request does not crash engines.
     pub proof: Proof,
+    /// Permits the request, if the endpoint is brittle; dropped after `guard`.
+    permit: Option<Permit>,
 }
 
 /// Chooses an endpoint of the call's service that is not in `tried`.
@@ -103,8 +109,10 @@
     let query = Query::new(call, &chain, tried);
     loop {
         let (decision, ticket) = place(node, &query, must_place).await?;
-        if limit::acquire(node, &decision, query.is_urgent()).await {
-            return Ok(select(node, call, &query, decision, ticket));
+        if limit::acquire(node, &decision, query.is_urgent()).await
+            && let Ok(permit) = bulkhead::acquire(node, &decision).await
+        {
+            return Ok(select(node, call, &query, decision, ticket, permit));
         }
         if call.time_left().is_zero() {
             return Err(no_endpoint(node, &query));
@@ -144,6 +152,7 @@
     query: &Query<'_>,
     decision: Decision,
     ticket: Option<Ticket>,
+    mut permit: Option<Permit>,
 ) -> Selection {
     let Decision {
         endpoint,
@@ -183,18 +192,23 @@
     });
     let levels = query.chain.hashes();
     node.beliefs.raise(&levels, holder);
+    let guard = health.in_flight.enter(call.class(), reasons.missed);
+    if let Some(permit) = &mut permit {
+        permit.record_sent();
+    }
     Selection {
         version: endpoint.version(),
         sent_at: clock::now(),
         source,
         save_to,
-        guard: health.in_flight.enter(call.class(), reasons.missed),
+        guard,
         endpoint,
         holder,
         health,
         levels,
         ticket,
         proof: Proof::default(),
+        permit,
     }
 }
 
@@ -308,6 +322,13 @@
         self.report_outcome(End::Rejected);
     }
 
+    /// Records that the endpoint had no room for the request.
+    pub fn record_full<P: Protocol>(&self, node: &Node<P>) {
+        if let Some(permit) = &self.permit {
+            permit.record_rejection(node);
+        }
+    }
+
     fn report_outcome(&self, end: End) {
         if let Some(ticket) = &self.ticket {
             ticket.report(end, &self.levels);
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -40,6 +40,7 @@
 };
 
 use crate::{
+    bulkhead,
     instance::{
         Member,
         name_hash, //
@@ -303,6 +304,12 @@
             let grant = limit::handle_request(node, &request);
             send(node, &Message::LimitGrant(grant), from).await;
         }
+        Message::RoomRequest(request) => {
+            let grant = bulkhead::handle_request(node, &request, from);
+            send(node, &Message::LimitGrant(grant), from).await;
+        }
+        Message::RoomReport(report) => bulkhead::handle_report(node, &report, from),
+        Message::BrittleServices(statements) => bulkhead::handle_statements(node, &statements),
         Message::LimitGrant(ref grant) => node.exchange.answer(grant.id, message),
         Message::Origins(origins) => origin::handle_origins(node, origins),
         Message::OriginRequest(request) => {
@@ -386,6 +393,7 @@
         if rank.is_some() {
             send_all(node, &Message::Digest(digest(node, now, is_full))).await;
         }
+        bulkhead::announce(node).await;
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod buffered;
 pub mod builds;
+pub mod bulkhead;
 pub mod catalog;
 pub mod choose;
 pub mod config;
--- a/crates/router/src/limit.rs
+++ b/crates/router/src/limit.rs
@@ -42,9 +42,9 @@
 };
 
 /// Timeout for the answer of another instance: many round trips within a region.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time for which an instance that does not answer is not asked again.
-const SILENCE_BACKOFF: Duration = Duration::from_millis(700);
+pub const SILENCE_BACKOFF: Duration = Duration::from_millis(700);
 /// Shortest time for which an endpoint is not asked for again after a refusal.
 const MIN_PAUSE: Duration = Duration::from_millis(5);
 /// Time without requests after which the grants for an endpoint are forgotten. All that could have
@@ -91,7 +91,8 @@
         grants.grant(role, urgent, now)
     }
 
-    fn is_silent(&self, address: SocketAddr, now: Duration) -> bool {
+    /// Whether an instance is not asked, since it has not answered.
+    pub fn is_silent(&self, address: SocketAddr, now: Duration) -> bool {
         let mut silent = self.silent.lock();
         silent.retain(|(_, retry_at)| *retry_at > now);
         silent.iter().any(|(known, _)| *known == address)
@@ -151,21 +152,24 @@
                     Some(wait) => Err(Duration::from_millis(u64::from(wait))),
                 };
             }
-            _ => {
-                emit!(
-                    info,
-                    event::ENDPOINT_LIMIT_SILENT,
-                    endpoint = &**endpoint,
-                    instance = %address,
-                );
-                let retry_at = clock::now() + SILENCE_BACKOFF;
-                node.limits.silent.lock().push((address, retry_at));
-            }
+            _ => record_silence(node, endpoint, address),
         }
     }
     Err(SILENCE_BACKOFF)
 }
 
+/// Records that an instance that grants requests to `endpoint` does not answer.
+pub fn record_silence<P: Protocol>(node: &Node<P>, endpoint: &str, instance: SocketAddr) {
+    emit!(
+        info,
+        event::ENDPOINT_LIMIT_SILENT,
+        endpoint = endpoint,
+        instance = %instance,
+    );
+    let retry_at = clock::now() + SILENCE_BACKOFF;
+    node.limits.silent.lock().push((instance, retry_at));
+}
+
 /// Handles another instance's request for a request to an endpoint.
 pub fn handle_request<P: Protocol>(node: &Node<P>, request: &LimitRequest) -> LimitGrant {
     let now = clock::now();
@@ -184,7 +188,11 @@
 
 /// The first and the second of the live instances for an endpoint: their addresses, `None` for this
 /// instance.
-fn granters<P: Protocol>(node: &Node<P>, endpoint: &str, now: Duration) -> Vec<Option<SocketAddr>> {
+pub fn granters<P: Protocol>(
+    node: &Node<P>,
+    endpoint: &str,
+    now: Duration,
+) -> Vec<Option<SocketAddr>> {
     let granters: Vec<_> = node.members.with_live(now, |members| {
         let candidates: Vec<Candidate<'_>> = members
             .iter()
@@ -208,7 +216,7 @@
 }
 
 /// This instance's part in granting the requests to an endpoint.
-fn role<P: Protocol>(node: &Node<P>, endpoint: &str, now: Duration) -> Role {
+pub fn role<P: Protocol>(node: &Node<P>, endpoint: &str, now: Duration) -> Role {
     let first = granters(node, endpoint, now).into_iter().next();
     Role {
         is_first: first == Some(None),
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -4,6 +4,8 @@
 //! datagrams have none. postcard encodes by position: the order of fields and
 //! variants is part of the format. Any datagram may be lost, repeated or late.
 
+mod room;
+
 use std::net::SocketAddr;
 
 use serde::{
@@ -19,6 +21,11 @@
     },
     protocol::Invalid, //
 };
+pub use room::{
+    BrittleService,
+    RoomReport,
+    RoomRequest, //
+};
 
 /// Largest datagram, in bytes; larger sets of changes are fetched over a connection.
 pub const MAX_BYTES: usize = 8 << 10;
@@ -65,6 +72,14 @@
     OriginResponse(OriginResponse),
     /// Like [`Message::PlacementRequest`], for a stream that goes on at the build that began it.
     ResumptionRequest(ResumptionRequest),
+    /// To the instance that grants the requests to a brittle endpoint: request for one. The response
+    /// is a [`Message::LimitGrant`].
+    RoomRequest(RoomRequest),
+    /// To the instances that grant the requests to a brittle endpoint: what is in flight there.
+    RoomReport(RoomReport),
+    /// From an instance to hubs, and from a hub to all other instances: services whose endpoints are
+    /// brittle.
+    BrittleServices(Vec<BrittleService>),
 }
 
 /// What began streams.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -47,6 +47,7 @@
 
 use crate::{
     builds,
+    bulkhead,
     catalog::Catalog,
     config::Config,
     endpoints::Endpoints,
@@ -142,6 +143,8 @@
     pub quotas: Arc<quota::Table>,
     /// Limits of endpoints that this instance grants to others and itself.
     pub limits: limit::Table,
+    /// Bulkheads of brittle endpoints, from which this instance grants to others and itself.
+    pub bulkheads: Arc<bulkhead::Table>,
     /// Segments of prompts that crash engines.
     pub quarantine: Arc<quarantine::Table>,
     /// Placement of model requests, by this or another instance.
@@ -207,6 +210,7 @@
             peers: Client::new(peer::ANSWER_TIMEOUT),
             quotas: Arc::default(),
             limits: limit::Table::default(),
+            bulkheads: Arc::default(),
             quarantine: Arc::default(),
             planner: planner::State::default(),
             builds: builds::Table::default(),
--- a/crates/router/src/protocol.rs
+++ b/crates/router/src/protocol.rs
@@ -144,6 +144,8 @@
     pub rest: Option<Duration>,
     /// Requests a second that it takes from all instances together.
     pub limit: Option<f64>,
+    /// Rejections in a second for want of room beyond which it falls over, if it is brittle.
+    pub brittle: Option<f64>,
 }
 
 /// Fields that the router reads from the head of an endpoint's answer.
--- a/crates/state/src/flight.rs
+++ b/crates/state/src/flight.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct Counter {
     running: AtomicU32,
+    /// Requests that may be in flight soon.
+    reserved: AtomicU32,
     /// Requests without a first token, by class.
     waiting: [AtomicU32; CLASS_COUNT],
     /// Units of blocks that are still to be computed for the waiting requests, by class.
@@ -34,7 +36,28 @@
     first_token_seen: AtomicBool,
 }
 
+/// Counts a request that may be in flight soon until it is dropped.
+#[derive(Debug)]
+pub struct Reservation(Arc<Counter>);
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.0.reserved.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Counter {
+    /// Counts a request that may be in flight soon until the reservation is dropped.
+    pub fn reserve(self: &Arc<Self>) -> Reservation {
+        self.reserved.fetch_add(1, Ordering::Relaxed);
+        Reservation(self.clone())
+    }
+
+    /// Number of requests in flight and of reservations.
+    pub fn held(&self) -> u32 {
+        self.running() + self.reserved.load(Ordering::Relaxed)
+    }
+
     /// Counts a request with `blocks` to be computed as in flight until the guard is dropped.
     pub fn enter(self: &Arc<Self>, class: Class, blocks: f32) -> Guard {
         let guard = Guard {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -132,6 +132,8 @@
     BUILDS_RECORDED = 425;
     /// A caller takes a stream up; it goes on only at endpoints of the service and build that began it.
     STREAM_TAKEN_UP = 426;
+    /// An endpoint states that it falls over if it has to reject more requests in a second than named, or no longer does.
+    ENDPOINT_BRITTLE = 427;
     /// The table did not answer a request about token rights; the rights expire with their term if this lasts.
     RIGHTS_FAULT = 500;
     /// Other instances ended the rights of this instance after its term; it starts over.
