Streams whose brittle endpoint fell over wait for room at another

Callers lost the rest of their streams after a fall: the others had no room at that moment, and the stream was refused at once. It now asks every 50 ms for 1.5 s. Partial: each refused new request renews the pause of the endpoint, and a stream that waits seldom asks between two of them.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -14,6 +14,7 @@
     Verdict,
     attempt::Record, //
 };
+use state::clock;
 use telemetry::{
     emit,
     event, //
@@ -55,6 +56,11 @@
 const PLACE_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of these pauses; callers give up a stream after a few seconds without an event.
 const MAX_WAITS: u32 = 6;
+/// Pause before a stream whose brittle endpoint fell over is placed again if no other has room, which
+/// new requests take, too.
+const ROOM_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum number of these pauses.
+const MAX_ROOM_WAITS: u32 = 30;
 /// Maximum number of attempts per request, including those that did not run it.
 const MAX_ATTEMPTS: u32 = 5;
 /// Time left before the deadline below which a request is not sent to an endpoint.
@@ -77,8 +83,11 @@
     /// Attempts that are allowed without a retry left, since the stream has left an endpoint that may
     /// still serve it.
     free_retries: u32,
-    /// How often such a stream still waits while no endpoint can take it.
+    /// How often such a stream, or one whose brittle endpoint fell over, still waits while no endpoint can
+    /// take it.
     waits: u32,
+    /// Time that each such wait takes.
+    wait_interval: Duration,
 }
 
 /// An endpoint chosen for an attempt that has not begun.
@@ -110,6 +119,7 @@
             left: None,
             free_retries: 0,
             waits: 0,
+            wait_interval: PLACE_INTERVAL,
         }
     }
 
@@ -137,7 +147,7 @@
                     Ok(selection) => selection,
                     Err(_) if self.waits > 0 => {
                         self.waits -= 1;
-                        tokio::time::sleep(PLACE_INTERVAL).await;
+                        tokio::time::sleep(self.wait_interval).await;
                         continue;
                     }
                     Err(refusal) => return Err(self.with_verdict(refusal)),
@@ -379,6 +389,10 @@
         self.report_failure(node, call, selection, &failure);
         let name = &selection.endpoint.registration.name;
         self.record.add_truncation(name, failure);
+        if node.bulkheads.is_brittle(&call.service, clock::now()) {
+            // The others may have no room until a request of theirs ends.
+            (self.waits, self.wait_interval) = (MAX_ROOM_WAITS, ROOM_INTERVAL);
+        }
     }
 
     /// Records that a stream leaves an endpoint which may still serve it; it may return there if no
@@ -393,7 +407,7 @@
         self.add_truncation(node, call, selection, failure);
         self.left = Some(selection.endpoint.registration.name.clone());
         self.free_retries = FREE_RETRIES;
-        self.waits = MAX_WAITS;
+        (self.waits, self.wait_interval) = (MAX_WAITS, PLACE_INTERVAL);
     }
 
     /// Whether a stream that an endpoint answers may continue at another one, and return if that one
--- a/crates/router/src/bulkhead.rs
+++ b/crates/router/src/bulkhead.rs
@@ -108,6 +108,12 @@
         });
     }
 
+    /// Whether endpoints of a service have lately stated that they are brittle.
+    pub fn is_brittle(&self, service: &str, now: Duration) -> bool {
+        self.statement(service)
+            .is_some_and(|(_, at)| now.saturating_sub(at) < STATEMENT_HORIZON)
+    }
+
     /// The latest statement of a brittle endpoint of a service.
     fn statement(&self, service: &str) -> Option<(f64, Duration)> {
         let services = self.services.lock();
