--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -146,6 +146,8 @@
     STREAMS_GATHERED = 432;
     /// A connection to an endpoint leads through another instance.
     CONNECTION_RELAYED = 433;
+    /// An endpoint states that it falls over if it has to reject more requests in a second than named, or no longer does.
+    ENDPOINT_BRITTLE = 434;
     /// The table did not answer a request about token rights; the rights expire with their term if this lasts.
     RIGHTS_FAULT = 500;
     /// Other instances ended the rights of this instance after its term; it starts over.
