--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -50,6 +50,7 @@
 
 use crate::{
     builds,
+    bulkhead,
     catalog::Catalog,
     config::Config,
     endpoints::Endpoints,
@@ -152,6 +153,8 @@
     pub quotas: Arc<quota::Table>,
     /// Limits of endpoints that this instance grants to others and itself.
     pub limits: limit::Table,
+    /// Bulkheads of brittle endpoints, from which this instance grants to others and itself.
+    pub bulkheads: Arc<bulkhead::Table>,
     /// Segments of prompts that crash engines.
     pub quarantine: Arc<quarantine::Table>,
     /// Placement of model requests, by this or another instance.
@@ -220,6 +223,7 @@
             peers: Client::new(peer::ANSWER_TIMEOUT),
             quotas: Arc::default(),
             limits: limit::Table::default(),
+            bulkheads: Arc::default(),
             quarantine: Arc::default(),
             planner: planner::State::default(),
             builds: builds::Table::default(),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -138,7 +138,7 @@
     ENDPOINT_DIRECT = 428;
     /// Neither this instance nor another one can connect to an endpoint; requests fail there at once until one can.
     ENDPOINT_UNREACHABLE = 429;
-    /// Nothing is known of the begin of a stream that a caller takes up, and several builds may have begun it; names the hubs that were asked and those that answered, by number.
+    /// Nothing is known of the begin of a stream that a caller takes up, and several builds may have begun it; names the instances that were asked and those that answered, by number.
     STREAM_UNKNOWN = 430;
     /// The table did not take the records of streams of an instance that stops; other instances know them only as far as they were told.
     STREAMS_UNSAVED = 431;
@@ -146,6 +146,8 @@
     STREAMS_GATHERED = 432;
     /// A connection to an endpoint leads through another instance.
     CONNECTION_RELAYED = 433;
+    /// An endpoint states that it falls over if it has to reject more requests in a second than named, or no longer does.
+    ENDPOINT_BRITTLE = 434;
     /// The table did not answer a request about token rights; the rights expire with their term if this lasts.
     RIGHTS_FAULT = 500;
     /// Other instances ended the rights of this instance after its term; it starts over.
