Name builds that join while all instances stop

A build that joined while all instances were stopping was used by none of them as long as an endpoint of an older build could take the request, and not named within the 10 s for which the test waits.

Cause: the row that names the builds of a service is written by hubs, and an instance that stops is none. Stops that overlap leave no hub. Class of fault: what one instance does for all ends with planned work; records of streams had the same one.

While there is no hub and this instance stops, it writes the row, as it writes the records of streams. Of several that do so one succeeds, since the write is bound to the row's revision.

rolling::a_build_that_joins_while_all_instances_stop_is_named failed before.

--- a/crates/router/src/builds.rs
+++ b/crates/router/src/builds.rs
@@ -40,6 +40,7 @@
     BUILDS,
     catalog::Catalog,
     node::Node,
+    origin,
     protocol::Protocol, //
 };
 
@@ -231,13 +232,13 @@
     node.builds.apply(service, history, change.revision);
 }
 
-/// Writes the rows while this instance is a hub, until the task is aborted.
+/// Writes the rows while this instance is a hub, or all instances stop, until the task is aborted.
 pub async fn run<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
     loop {
         let changed = node.builds.changed.notified();
         // Fails if nothing changes for a while.
         tokio::time::timeout(CHECK_INTERVAL, changed).await.ok();
-        if node.hub_rank().is_none()
+        if origin::writer_rank(node).is_none()
             || !node.mirrors.instances.is_read()
             || !node.mirrors.endpoints.is_read()
         {
@@ -254,7 +255,8 @@
 /// Writes the row of a service, if it is outdated and the hubs before this one have not written it.
 async fn write_outdated<P: Protocol, W: Watch>(node: &Node<P>, table: &W, service: &str) {
     let now = clock::now();
-    let (Some(rank), Some(table_time)) = (node.hub_rank(), node.exchange.table_time(now)) else {
+    let (Some(rank), Some(table_time)) = (origin::writer_rank(node), node.exchange.table_time(now))
+    else {
         return;
     };
     let registered = node.registered_builds(service);
--- a/crates/router/src/origin.rs
+++ b/crates/router/src/origin.rs
@@ -281,7 +281,7 @@
 
 /// Rank of this instance among those that write records now. While all instances stop there is no
 /// hub, and each one writes what it knows.
-fn writer_rank<P: Protocol>(node: &Node<P>) -> Option<usize> {
+pub fn writer_rank<P: Protocol>(node: &Node<P>) -> Option<usize> {
     let is_left_alone = || node.is_stopping() && exchange::other_hubs(node).is_empty();
     node.hub_rank().or_else(|| is_left_alone().then_some(0))
 }
