--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to endpoints, with retries at others as long as a retry is safe.
 
 mod connection;
+mod refusal;
 
 use std::{
     sync::Arc,
@@ -42,10 +43,7 @@
         Trial, //
     },
     quota::Charge,
-    refusal::{
-        Reason,
-        Refusal, //
-    },
+    refusal::Refusal,
     request::Call, //
 };
 
@@ -65,8 +63,6 @@
 const MAX_ATTEMPTS: u32 = 5;
 /// Time left before the deadline below which a request is not sent to an endpoint.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
-/// Retry delay for callers after the last failed attempt or an exceeded deadline.
-const DEADLINE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// The attempts of one request.
 #[derive(Debug)]
@@ -447,35 +443,6 @@
         }
         is_free
     }
-
-    /// The refusal after the last failed attempt.
-    pub fn final_refusal(&self, call: &Call) -> Refusal {
-        if call.time_left().is_zero() {
-            return self.deadline_refusal();
-        }
-        let reason = match self.record.verdict() {
-            Verdict::NotRun => Reason::NoEndpoint,
-            Verdict::MayHaveRun | Verdict::Ran => Reason::EndpointFailed,
-        };
-        let message = match self.record.last_failure() {
-            Some(failure) => failure.fault.to_string(),
-            None => "nothing was tried".to_owned(),
-        };
-        self.with_verdict(Refusal::not_run(reason, message).retry_after(DEADLINE_RETRY_DELAY))
-    }
-
-    fn deadline_refusal(&self) -> Refusal {
-        let message = "the time for the request has run out";
-        self.with_verdict(
-            Refusal::not_run(Reason::DeadlineExceeded, message).retry_after(DEADLINE_RETRY_DELAY),
-        )
-    }
-
-    /// Replaces the verdict of a refusal by the combined verdict of all attempts.
-    fn with_verdict(&self, mut refusal: Refusal) -> Refusal {
-        refusal.verdict = refusal.verdict.worst(self.record.verdict());
-        refusal
-    }
 }
 
 /// Whether the connection ended before the answer was complete, as when an endpoint crashes. An
