No trait object while a connection is relayed

A closure that describes failures took a dyn Display on the way of a request. An associated function that is generic takes its place; the texts are the same.

--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -81,6 +81,13 @@
     Lost(String),
 }
 
+impl Fault {
+    /// No usable answer, for this reason.
+    fn lost(reason: impl std::fmt::Display) -> Self {
+        Self::Lost(reason.to_string())
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     name: Arc<str>,
@@ -202,10 +209,9 @@
     endpoint: &Registration,
     target: Target,
 ) -> Result<Connection, Fault> {
-    let lost = |reason: &dyn std::fmt::Display| Fault::Lost(reason.to_string());
-    let stream = TcpStream::connect(peer).await.map_err(|e| lost(&e))?;
-    set_options(&stream).map_err(|e| lost(&e))?;
-    let name = |text: &str| HeaderValue::from_str(text).map_err(|e| lost(&e));
+    let stream = TcpStream::connect(peer).await.map_err(Fault::lost)?;
+    set_options(&stream).map_err(Fault::lost)?;
+    let name = |text: &str| HeaderValue::from_str(text).map_err(Fault::lost);
     let request = Request::get(PATH)
         .header(header::HOST, peer.to_string())
         .header(header::CONNECTION, "upgrade")
@@ -214,13 +220,11 @@
         .header(ENDPOINT, name(&endpoint.name)?)
         .header(INCARNATION, endpoint.incarnation)
         .body(Empty::<Bytes>::new())
-        .map_err(|e| lost(&e))?;
-    let (mut sender, connection) = handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| lost(&e))?;
+        .map_err(Fault::lost)?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(Fault::lost)?;
     // The request reports the errors of this task, which ends with the sender or the upgrade.
     tokio::spawn(connection.with_upgrades());
-    let response = sender.send_request(request).await.map_err(|e| lost(&e))?;
+    let response = sender.send_request(request).await.map_err(Fault::lost)?;
     match response.status() {
         StatusCode::SWITCHING_PROTOCOLS => {}
         StatusCode::BAD_GATEWAY => return Err(Fault::Unreached),
@@ -228,13 +232,13 @@
         StatusCode::SERVICE_UNAVAILABLE => return Err(Fault::Busy),
         _ => return Err(Fault::Unable),
     }
-    let upgraded = hyper::upgrade::on(response).await.map_err(|e| lost(&e))?;
+    let upgraded = hyper::upgrade::on(response).await.map_err(Fault::lost)?;
     let parts = upgraded
         .downcast::<TokioIo<TcpStream>>()
-        .map_err(|_| lost(&"unexpected kind of connection"))?;
+        .map_err(|_| Fault::lost("unexpected kind of connection"))?;
     if !parts.read_buf.is_empty() {
-        return Err(lost(&"the endpoint has closed the connection"));
+        return Err(Fault::lost("the endpoint has closed the connection"));
     }
     let link = Link::Relayed(Frames::new(parts.io.into_inner()));
-    Connection::over(target, link).await.map_err(|e| lost(&e))
+    Connection::over(target, link).await.map_err(Fault::lost)
 }
