Planned stop: requests that cannot end in time are refused, the rest is answered

Cause: a connection whose head or body was still arriving, a retry or a request that waited was passed on at any moment of a planned stop, and at nine tenths of the time to the kill the process ended whatever still ran: callers saw a closed connection, also for requests that may run once. Ruled out: idle kept connections and the accept queue, which are read or closed in order.

Change: before each attempt the time left is compared with what requests of the class have taken at the service; what is not expected to end is refused as not run, for the directory to be asked again. What has not ended at nine tenths is answered with its true verdict after the records of streams are written. Connections are accepted for four tenths of the time at most.

--- a/crates/policy/src/delay.rs
+++ b/crates/policy/src/delay.rs
@@ -30,6 +30,12 @@
         });
     }
 
+    /// Smoothed mean; `None` before the first sample.
+    pub fn mean(&self) -> Option<Duration> {
+        let (mean, _) = self.estimate?;
+        Some(Duration::from_secs_f64(mean))
+    }
+
     /// Delay that few samples exceed; `None` before the first sample.
     pub fn upper_bound(&self) -> Option<Duration> {
         let (mean, deviation) = self.estimate?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod save;
 pub mod share;
 pub mod shed;
+pub mod stop;
 pub mod suspect;
 pub mod weights;
--- /dev/null
+++ b/crates/policy/src/stop.rs
@@ -0,0 +1,55 @@
+//! Times of a planned stop: how long an instance takes work, and which requests it still begins.
+
+use std::time::Duration;
+
+use crate::delay::Delay;
+
+/// Fraction of the time between the signal and the kill in which running requests may end.
+const DRAIN_FRACTION: f64 = 0.9;
+/// Fraction in which records may be written after that.
+const SAVE_FRACTION: f64 = 0.05;
+/// Fraction in which the requests that still run are answered after that.
+const ANSWER_FRACTION: f64 = 0.03;
+/// Longest time for which new connections are accepted, since callers cache the directory's responses.
+const MAX_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+/// Fraction in which they are accepted at most, so that requests have time to end.
+const MAX_ACCEPT_FRACTION: f64 = 0.4;
+
+/// Times of a planned stop, from its begin.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Schedule {
+    /// For how long new connections are accepted.
+    pub accept: Duration,
+    /// When running requests must have ended.
+    pub drain: Duration,
+    /// For how long records may be written after that.
+    pub save: Duration,
+    /// For how long requests that have not ended are answered after that.
+    pub answer: Duration,
+}
+
+impl Schedule {
+    /// The times of a stop whose process is killed after `bound`.
+    pub fn new(bound: Duration) -> Self {
+        Self {
+            accept: MAX_ACCEPT_TIME.min(bound.mul_f64(MAX_ACCEPT_FRACTION)),
+            drain: bound.mul_f64(DRAIN_FRACTION),
+            save: bound.mul_f64(SAVE_FRACTION),
+            answer: bound.mul_f64(ANSWER_FRACTION),
+        }
+    }
+}
+
+/// Whether a request may begin on an instance whose running requests must end within `time_left`, if
+/// requests of its kind have taken `taken` from their arrival to the end of their answers.
+///
+/// A request that may run once must be very likely to end. One that may be repeated is repeated
+/// elsewhere if it does not. Nothing is expected of a kind of which none has ended.
+pub fn may_begin(time_left: Duration, taken: &Delay, is_repeatable: bool) -> bool {
+    let expected = if is_repeatable {
+        taken.mean()
+    } else {
+        taken.upper_bound()
+    };
+    expected.is_none_or(|expected| expected <= time_left)
+}
--- /dev/null
+++ b/crates/policy/tests/stop.rs
@@ -0,0 +1,50 @@
+//! Planned stops: which requests an instance still begins, and its times.
+
+use std::time::Duration;
+
+use policy::{
+    delay::Delay,
+    stop::{
+        Schedule,
+        may_begin, //
+    }, //
+};
+use quickcheck::quickcheck;
+
+fn taken(samples_ms: &[u64]) -> Delay {
+    let mut taken = Delay::default();
+    for sample in samples_ms {
+        taken.record(Duration::from_millis(*sample));
+    }
+    taken
+}
+
+/// Guards against a request that may run once and is passed on though others of its kind have taken
+/// longer than this instance has left.
+#[test]
+fn a_request_that_may_run_once_begins_only_if_few_take_longer() {
+    let taken = taken(&[400, 1_600, 400, 1_600, 400, 1_600, 400, 1_600]);
+    let time_left = Duration::from_millis(1_500);
+    assert!(!may_begin(time_left, &taken, false));
+    assert!(may_begin(time_left, &taken, true));
+    assert!(may_begin(Duration::from_secs(6), &taken, false));
+    assert!(!may_begin(Duration::from_millis(300), &taken, true));
+}
+
+/// Guards against an instance that refuses what it knows nothing about: while all instances of a
+/// fleet stop, there is no other one.
+#[test]
+fn nothing_is_expected_of_a_kind_without_samples() {
+    assert!(may_begin(Duration::ZERO, &Delay::default(), false));
+}
+
+quickcheck! {
+    /// All steps of a stop end before the kill, and connections are accepted for a part of the time
+    /// in which requests may end.
+    fn a_stop_ends_before_the_kill(bound_ms: u32) -> bool {
+        let bound = Duration::from_millis(u64::from(bound_ms));
+        let schedule = Schedule::new(bound);
+        schedule.drain + schedule.save + schedule.answer <= bound
+            && schedule.accept <= schedule.drain / 2
+    }
+}
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -44,7 +44,8 @@
     },
     quota::Charge,
     refusal::Refusal,
-    request::Call, //
+    request::Call,
+    stop, //
 };
 
 /// Attempts of a stream that are allowed beyond its limits after it has left an endpoint that may still
@@ -84,6 +85,8 @@
     waits: u32,
     /// Time that each such wait takes.
     wait_interval: Duration,
+    /// Whether an attempt was sent whose outcome is not recorded.
+    is_sent: bool,
 }
 
 /// An endpoint chosen for an attempt that has not begun.
@@ -116,6 +119,7 @@
             free_retries: 0,
             waits: 0,
             wait_interval: PLACE_INTERVAL,
+            is_sent: false,
         }
     }
 
@@ -134,6 +138,12 @@
             if call.time_left() < MIN_TIME_LEFT {
                 return Err(self.deadline_refusal());
             }
+            // The rest of a stream takes less time than a whole one.
+            if last_event.is_none()
+                && let Err(refusal) = stop::check(node, call)
+            {
+                return Err(self.with_verdict(refusal));
+            }
             let selection = match self.placed.take() {
                 Some(Placed { selection, trial }) => {
                     self.trial = trial;
@@ -236,6 +246,7 @@
     }
 
     fn record_send<P: Protocol>(&mut self, node: &Node<P>, call: &Call) {
+        self.is_sent = true;
         if self.record.begin() == 1 {
             node.record_first_attempt(&call.service);
         }
@@ -303,6 +314,7 @@
         if let Some(version) = reply.version {
             selection.endpoint.record_version(version);
         }
+        self.is_sent = false;
         self.record.add_run();
         self.spend_charge();
         Ok((answer, reply))
@@ -341,6 +353,7 @@
     ) {
         self.report_failure(node, call, selection, &failure);
         let name = &selection.endpoint.registration.name;
+        self.is_sent = false;
         self.record.add_failure(name, failure);
     }
 
--- a/crates/router/src/attempt/refusal.rs
+++ b/crates/router/src/attempt/refusal.rs
@@ -10,7 +10,8 @@
         Reason,
         Refusal, //
     },
-    request::Call, //
+    request::Call,
+    stop, //
 };
 
 /// Retry delay for callers after the last failed attempt or an exceeded deadline.
@@ -41,6 +42,16 @@
         )
     }
 
+    /// The refusal of a request that has not ended when this instance does.
+    pub fn cut_refusal(&mut self) -> Refusal {
+        let mut refusal = self.with_verdict(stop::refusal());
+        if self.is_sent {
+            self.spend_charge();
+            refusal.verdict = refusal.verdict.worst(Verdict::MayHaveRun);
+        }
+        refusal
+    }
+
     /// Replaces the verdict of a refusal by the combined verdict of all attempts.
     pub(super) fn with_verdict(&self, mut refusal: Refusal) -> Refusal {
         refusal.verdict = refusal.verdict.worst(self.record.verdict());
--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -54,16 +54,26 @@
 ) -> Result<Response<Body>, Refusal> {
     let Admission { call, charge } = admission;
     let mut attempts = Attempts::new(charge);
+    tokio::select! {
+        served = serve_call(node, &call, &mut attempts) => served,
+        () = node.stop.over() => Err(attempts.cut_refusal()),
+    }
+}
+
+async fn serve_call<P: Protocol>(
+    node: &Arc<Node<P>>,
+    call: &Call,
+    attempts: &mut Attempts,
+) -> Result<Response<Body>, Refusal> {
     loop {
-        let answered = attempts.send(node, &call, None).await?;
+        let answered = attempts.send(node, call, None).await?;
         let EndpointAnswer {
             selection, answer, ..
         } = answered;
-        match collect_answer(node, &call, &selection, answer).await {
+        match collect_answer(node, call, &selection, answer).await {
             Ok((head, body)) => {
                 let is_retryable = head.status.is_server_error() && call.is_repeatable();
-                if !is_retryable || !attempts.may_retry_after_error(node, &call, &selection, &head)
-                {
+                if !is_retryable || !attempts.may_retry_after_error(node, call, &selection, &head) {
                     emit!(
                         info,
                         event::REQUEST_SERVED,
@@ -79,9 +89,9 @@
                 }
             }
             Err(failure) => {
-                attempts.add_truncation(node, &call, &selection, failure);
-                if !attempts.may_retry(node, &call) {
-                    return Err(attempts.final_refusal(&call));
+                attempts.add_truncation(node, call, &selection, failure);
+                if !attempts.may_retry(node, call) {
+                    return Err(attempts.final_refusal(call));
                 }
             }
         }
@@ -105,6 +115,9 @@
     let result = result.await;
     if let Ok((head, _)) = &result {
         selection.record_first_token(node, call.class());
+        let run_time = call.arrived_at.elapsed();
+        node.observed
+            .record_run_time(&call.service, call.class(), run_time);
         let is_whole = has_framed_end(&head.headers) || has_no_body(&call.content.method, head);
         if is_whole && head.status.is_success() {
             selection.proof.record(node, call);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -2,8 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use anyhow::Context;
@@ -46,13 +45,6 @@
 
 /// Length of the accept queue, in connections; the kernel caps it at its own limit.
 const ACCEPT_BACKLOG: u32 = 4096;
-/// Time after SIGTERM for which new connections are still accepted, since callers cache the
-/// directory's responses.
-const ACCEPT_TIME_AFTER_STOP: Duration = Duration::from_millis(2_500);
-/// Fraction of the time between SIGTERM and the kill in which running requests may end.
-const DRAIN_FRACTION: f64 = 0.9;
-/// Fraction of that time in which records of streams may be written after that.
-const SAVE_FRACTION: f64 = 0.05;
 
 /// Runs an instance until it has stopped after SIGTERM.
 ///
@@ -136,16 +128,17 @@
 
     /// Announces the stop, so that the directory no longer names this instance; accepts requests
     /// while callers may still cache older responses of the directory; then waits for running
-    /// requests to end. What began the streams that were relayed is written to the table.
-    async fn stop<W: Watch>(self, table: &W) {
-        let stop_bound = self.node.config.bounds.stop;
+    /// requests to end. What began the streams that were relayed is written to the table, so that
+    /// other instances may go on with those that have not ended; these end without their rest, and
+    /// other requests with a refusal.
+    async fn stop<W: Watch>(mut self, table: &W) {
         emit!(info, event::STOPPING, instance = self.node.config.name);
-        self.node.begin_stop();
+        let schedule = self.node.begin_stop();
         self.node.rollout_wakeup.notify_one();
         let drain = async {
             exchange::announce_leaving(&self.node).await;
             sync::write_row(&self.node, table).await;
-            let accept = tokio::time::sleep(ACCEPT_TIME_AFTER_STOP);
+            let accept = tokio::time::sleep(schedule.accept);
             tokio::pin!(accept);
             // An instance may be killed while it stops.
             tokio::select! {
@@ -154,7 +147,7 @@
             }
             // Fails only if the callers' plane has already ended.
             self.stop.send(true).ok();
-            self.callers_plane.await.ok();
+            (&mut self.callers_plane).await.ok();
             // Fails only if the semaphore is closed, which it never is.
             self.node
                 .relayed
@@ -162,17 +155,21 @@
                 .await
                 .ok();
         };
-        let drain_timeout = stop_bound.mul_f64(DRAIN_FRACTION);
-        let in_time = tokio::time::timeout(drain_timeout, drain).await.is_ok();
-        let save_timeout = stop_bound.mul_f64(SAVE_FRACTION);
+        let in_time = tokio::time::timeout(schedule.drain, drain).await.is_ok();
         let save = origin::write_unsaved(&self.node, table);
-        if tokio::time::timeout(save_timeout, save).await.is_err() {
+        if tokio::time::timeout(schedule.save, save).await.is_err() {
             emit!(
                 warn,
                 event::STREAMS_UNSAVED,
                 instance = self.node.config.name
             );
         }
+        if !in_time {
+            self.node.stop.end_requests();
+            let answered = &mut self.callers_plane;
+            // Callers that do not read their answers have until then.
+            tokio::time::timeout(schedule.answer, answered).await.ok();
+        }
         emit!(
             info,
             event::STOPPED,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -42,6 +42,7 @@
 mod retry;
 pub mod rollout;
 mod states;
+pub mod stop;
 pub mod stream;
 pub mod sync;
 pub mod weights;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -5,7 +5,6 @@
     sync::{
         Arc,
         atomic::{
-            AtomicBool,
             AtomicUsize,
             Ordering, //
         }, //
@@ -30,7 +29,8 @@
     rewrite::{
         self,
         Writer, //
-    }, //
+    },
+    stop::Schedule, //
 };
 use state::{
     belief,
@@ -84,6 +84,7 @@
     quota,
     relay,
     rollout,
+    stop,
     sync,
     weights::Rollout, //
 };
@@ -183,7 +184,8 @@
     pub observed: observed::Table,
     /// Rank of this instance among the hubs; [`NO_HUB`] if it is not a hub.
     hub_rank: AtomicUsize,
-    stopping: AtomicBool,
+    /// Progress of a planned stop.
+    pub stop: stop::State,
     protocol: PhantomData<P>,
 }
 
@@ -236,7 +238,7 @@
             retry_budgets: Mutex::default(),
             observed: observed::Table::default(),
             hub_rank: AtomicUsize::new(NO_HUB),
-            stopping: AtomicBool::new(false),
+            stop: stop::State::default(),
             protocol: PhantomData,
             config,
         })
@@ -244,12 +246,14 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.stop.has_begun()
     }
 
-    /// Begins a planned stop.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Release);
+    /// Begins a planned stop; returns its times.
+    pub fn begin_stop(&self) -> Schedule {
+        let schedule = Schedule::new(self.config.bounds.stop);
+        self.stop.begin(&schedule);
+        schedule
     }
 
     /// Rank of this instance among the hubs; 0 is the first. `None` if it is not a hub.
--- a/crates/router/src/observed.rs
+++ b/crates/router/src/observed.rs
@@ -26,6 +26,8 @@
     lateness: Lateness,
     /// Time from the sending of a request to the start of its answer, by class.
     start_delays: [Delay; CLASSES],
+    /// Time from the arrival of a request to the end of its answer, by class.
+    run_times: [Delay; CLASSES],
 }
 
 /// Observations, by service.
@@ -61,6 +63,16 @@
         self.with(service, |s| s.start_delays[index(class)].upper_bound())
     }
 
+    /// Records that the answer to a request at a service was complete `time` after its arrival.
+    pub fn record_run_time(&self, service: &Arc<str>, class: Class, time: Duration) {
+        self.with(service, |s| s.run_times[index(class)].record(time));
+    }
+
+    /// Time from the arrival of a class of requests at a service to the end of their answers.
+    pub fn run_time(&self, service: &Arc<str>, class: Class) -> Delay {
+        self.with(service, |s| s.run_times[index(class)])
+    }
+
     fn with<T>(&self, service: &Arc<str>, update: impl FnOnce(&mut Service) -> T) -> T {
         update(sorted::entry(&mut self.services.lock(), service))
     }
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -40,6 +40,7 @@
         Refusal, //
     },
     relay,
+    stop,
     stream::{
         self,
         millis, //
@@ -82,7 +83,11 @@
             }
         };
         *id = Some(head.id.clone());
-        let admission = admit::accept(&self.0, head, Request::from_parts(parts, body)).await?;
+        let request = Request::from_parts(parts, body);
+        let admission = tokio::select! {
+            admission = admit::accept(&self.0, head, request) => admission,
+            () = self.0.stop.over() => Err(stop::refusal()),
+        }?;
         let arrived_at = admission.call.arrived_at;
         let mut response = if admission.call.route.streams {
             stream::serve(&self.0, admission).await?
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -57,6 +57,8 @@
     SegmentQuarantined,
     /// The request crashes endpoints.
     RequestQuarantined,
+    /// This instance stops before the answer could be complete.
+    Stopping,
     /// The endpoint failed, and the request may have run.
     EndpointFailed,
 }
@@ -78,6 +80,7 @@
             Reason::OriginUnknown => "origin_unknown",
             Reason::SegmentQuarantined => "segment_quarantined",
             Reason::RequestQuarantined => "request_quarantined",
+            Reason::Stopping => "stopping",
             Reason::EndpointFailed => "endpoint_failed",
         }
     }
@@ -147,6 +150,7 @@
             | Reason::OriginUnknown
             | Reason::SegmentQuarantined
             | Reason::RequestQuarantined
+            | Reason::Stopping
                 if not_run =>
             {
                 StatusCode::SERVICE_UNAVAILABLE
@@ -158,6 +162,7 @@
             | Reason::OriginUnknown
             | Reason::SegmentQuarantined
             | Reason::RequestQuarantined
+            | Reason::Stopping
             | Reason::EndpointFailed => StatusCode::BAD_GATEWAY,
         }
     }
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -125,7 +125,10 @@
     }
     let mut attempts = Attempts::new(charge);
     let mut last_event = call.head.last_event;
-    let opening = open_stream(node, &call, &mut attempts, &mut last_event).await?;
+    let opening = tokio::select! {
+        opening = open_stream(node, &call, &mut attempts, &mut last_event) => opening,
+        () = node.stop.over() => Err(attempts.cut_refusal()),
+    }?;
     let (head, upstream, first) = match opening {
         Opening::Stream(stream) => *stream,
         Opening::Error(head, body) => return Ok(buffered::caller_response::<P>(&head, body)),
@@ -302,7 +305,12 @@
     /// connection to the endpoint, which cancels its work.
     async fn run(mut self, first: Bytes, chunks: mpsc::Sender<Result<Bytes, Abort>>) {
         let first_event = self.call.arrived_at.elapsed();
-        let (outcome, abort) = match self.forward_events(first, &chunks).await {
+        let node = self.node.clone();
+        let forwarded = tokio::select! {
+            forwarded = self.forward_events(first, &chunks) => forwarded,
+            () = node.stop.over() => Err(self.attempts.cut_refusal()),
+        };
+        let (outcome, abort) = match forwarded {
             Ok(true) => ("ok", None),
             Ok(false) => ("caller_left", None),
             Err(refusal) => {
@@ -327,6 +335,11 @@
                 let run_time = self.call.arrived_at.elapsed().saturating_sub(first_event);
                 self.node.longest_request.record(run_time);
             }
+            if outcome == "ok" && self.call.head.last_event.is_none() {
+                let run_time = self.call.arrived_at.elapsed();
+                let (service, class) = (&self.call.service, self.call.class());
+                self.node.observed.record_run_time(service, class, run_time);
+            }
             emit!(
                 info,
                 event::REQUEST_SERVED,
