Fewer calls to the table at the start, by rows that fail and in an outage

An empty table has no revision, which counted as not read, so that instances registered 2.5 s late, knew no hub and all followed every registration of an endpoint. In calm, each instance wrote its own row every 20 s, and each write woke the hubs.

Change: what was read counts as read; while no configuration is known endpoints and instances are not followed; an instance that has just read the table waits for a hub for as long as one that loses its hubs. Own rows are written at an even pace of the fleet, and fail with a growing delay. While the table gives no answer one feed asks for all, less often where a hub is heard.

Ruled out: polls by the hubs (34 a second at any size), writes of rollouts (8 a second).

--- a/crates/policy/src/hub.rs
+++ b/crates/policy/src/hub.rs
@@ -17,6 +17,12 @@
 const HUB_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum age of a hub's view of the table; longer than one long poll for changes.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(1_100);
+/// Longest delay between calls to a table that gives no answer.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Time for each instance, if others hear of the table's return for it.
+const RETRY_TIME: Duration = Duration::from_millis(8);
+/// Longest delay in that case.
+const MAX_SPREAD_DELAY: Duration = Duration::from_secs(2);
 
 /// An instance that may be a hub.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -75,3 +81,23 @@
 pub fn is_any_fresh(observations: &[Observation]) -> bool {
     observations.iter().any(Observation::is_fresh)
 }
+
+/// Whether an instance that has read the table `age` ago may still hear of a hub before a running
+/// instance would count all hubs as failed. When a whole fleet starts, all instances have read the
+/// table at the same time and know no hub yet.
+pub fn may_hear_soon(age: Duration) -> bool {
+    age <= HUB_TIMEOUT
+}
+
+/// Longest delay between calls of an instance to a table that gives no answer.
+///
+/// One that hears a hub learns from it when the table is back. It calls by itself only since the table
+/// may refuse the hubs alone, and less often in a larger fleet.
+pub fn max_retry_delay(hears_hub: bool, instances: usize) -> Duration {
+    if !hears_hub {
+        return MAX_RETRY_DELAY;
+    }
+    let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+    let spread = RETRY_TIME.saturating_mul(instances);
+    spread.clamp(MAX_RETRY_DELAY, MAX_SPREAD_DELAY)
+}
--- a/crates/policy/src/rewrite.rs
+++ b/crates/policy/src/rewrite.rs
@@ -21,6 +21,18 @@
 /// Bounds of that period.
 const OWN_PERIOD: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(10));
 
+/// Time for each instance between two writes of its own row in calm, so that the fleet writes at an
+/// even pace whatever its size.
+const CALM_TIME: Duration = Duration::from_secs(2);
+/// Shortest time between these writes.
+const MIN_CALM_INTERVAL: Duration = Duration::from_secs(20);
+/// First delay after a failed write of a row that the table lacks.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time of the longest such delay for each instance.
+const RETRY_TIME: Duration = Duration::from_millis(10);
+/// Bounds of the longest such delay.
+const MAX_RETRY_DELAY: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(5));
+
 /// An instance that may write a row again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Writer {
@@ -47,6 +59,24 @@
     draw_of(OWN_TIME, OWN_PERIOD, instances, draw)
 }
 
+/// Time from an attempt of one of `instances` to write its own row to the next one. `failures` counts
+/// the failed attempts since the table is known to lack the row; it is `None` if the table has it.
+///
+/// The row of an instance that runs seldom changes. It is written again so that the table holds a
+/// recent time at which some instance ran, which needs no more writes in a larger fleet.
+pub fn row_delay(instances: usize, failures: Option<u32>) -> Duration {
+    let instances = count(instances);
+    let Some(failures) = failures else {
+        return CALM_TIME.saturating_mul(instances).max(MIN_CALM_INTERVAL);
+    };
+    let (shortest, longest) = MAX_RETRY_DELAY;
+    let max_delay = RETRY_TIME
+        .saturating_mul(instances)
+        .clamp(shortest, longest);
+    let delay = FIRST_RETRY_DELAY.saturating_mul(1 << failures.saturating_sub(1).min(8));
+    delay.min(max_delay)
+}
+
 fn draw_of(
     time: Duration,
     (shortest, longest): (Duration, Duration),
--- a/crates/policy/tests/hub.rs
+++ b/crates/policy/tests/hub.rs
@@ -7,6 +7,8 @@
     HUBS,
     Observation,
     is_any_fresh,
+    max_retry_delay,
+    may_hear_soon,
     pick, //
 };
 use quickcheck::quickcheck;
@@ -90,3 +92,30 @@
     assert!(!is_any_fresh(&[failed, stale]));
     assert!(!is_any_fresh(&[]));
 }
+
+/// Load: a whole fleet starts at once and each instance has just read the table, while endpoints
+/// register one after the other. Hubs are heard within two digests of 0.3 s; until then the instances
+/// must not all read each change.
+#[test]
+fn instances_that_start_together_leave_changes_to_hubs_that_are_not_heard_yet() {
+    let until_hubs_are_heard = Duration::from_millis(600);
+    assert!(may_hear_soon(Duration::ZERO));
+    assert!(may_hear_soon(until_hubs_are_heard));
+    // As for hubs that fall silent, a change is read well within a second.
+    assert!(!may_hear_soon(Duration::from_secs(1)));
+}
+
+/// Load: the table gives no answer for seconds, and each instance calls it again and again. Those that
+/// hear a hub, which tells them of its return, together call no more often in a larger fleet.
+#[test]
+fn calls_to_a_table_without_answers_do_not_grow_with_the_fleet() {
+    let calls_per_second =
+        |instances: usize| instances as f64 / max_retry_delay(true, instances).as_secs_f64();
+    for instances in 8..250 {
+        assert!(calls_per_second(instances) <= 126.0, "{instances}");
+    }
+    // An instance never waits much longer for an answer that others do not get.
+    assert!(max_retry_delay(true, 889) <= Duration::from_secs(2));
+    let alone = max_retry_delay(false, 889);
+    assert_eq!(alone, max_retry_delay(true, 8));
+}
--- a/crates/policy/tests/rewrite.rs
+++ b/crates/policy/tests/rewrite.rs
@@ -5,6 +5,7 @@
 use policy::rewrite::{
     Writer,
     own_delay,
+    row_delay,
     shared_delay, //
 };
 use quickcheck::quickcheck;
@@ -73,3 +74,30 @@
     assert!(latest < Duration::from_secs(35), "{latest:?}");
     assert!(own_delay(usize::MAX, 1.0) <= Duration::from_secs(10));
 }
+
+/// Load: a fleet in calm, in which each instance writes its own row now and then, and each write wakes
+/// the hubs. The writes of the whole fleet stay as many at any size.
+#[test]
+fn own_rows_are_written_as_often_by_a_large_fleet_as_by_a_small_one() {
+    for instances in 1..1_000 {
+        let per_second = instances as f64 / row_delay(instances, None).as_secs_f64();
+        assert!(per_second <= 0.5, "{instances}: {per_second}");
+    }
+}
+
+/// Load: the table turns some instances away for seconds while their rows are due. Each used to try ten
+/// times a second.
+#[test]
+fn a_row_that_cannot_be_written_is_tried_less_and_less_often() {
+    for instances in [1, 8, 84, 195, 889] {
+        let mut attempts = 0;
+        let mut elapsed = Duration::ZERO;
+        while elapsed < Duration::from_secs(8) {
+            attempts += 1;
+            elapsed += row_delay(instances, Some(attempts));
+        }
+        assert!(attempts <= 12, "{instances}: {attempts}");
+        // It is written soon after the table's return.
+        assert!(row_delay(instances, Some(attempts)) <= Duration::from_secs(5));
+    }
+}
--- a/crates/router/src/mirror.rs
+++ b/crates/router/src/mirror.rs
@@ -53,6 +53,9 @@
     ///
     /// Sorted by key; keys are unique.
     rows: Vec<Entry>,
+    /// Whether all rows have been read. A table that was never written to has the default revision.
+    #[serde(skip)]
+    is_read: bool,
 }
 
 /// Replication position of a mirror.
@@ -88,7 +91,8 @@
 impl Mirror {
     /// Whether the rows have been read.
     pub fn is_read(&self) -> bool {
-        self.revision() > Revision::default()
+        let snapshot = self.snapshot.lock();
+        snapshot.is_read || snapshot.revision > Revision::default()
     }
 
     /// Revision up to which the rows are complete; the default before the first read.
@@ -201,6 +205,7 @@
         if range.revision < snapshot.revision {
             return Vec::new();
         }
+        snapshot.is_read = true;
         let deleted = snapshot.rows.iter().filter(|entry| {
             let found = range.rows.binary_search_by(|row| row.key.cmp(&entry.key));
             found.is_err()
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -1,5 +1,7 @@
 //! Replicates the platform's table into this instance's mirrors.
 
+mod row;
+
 use std::{
     sync::{
         Arc,
@@ -17,6 +19,7 @@
     Watch,
     WatchFault, //
 };
+use policy::hub;
 use rand::Rng;
 use state::clock;
 use telemetry::{
@@ -28,9 +31,7 @@
 use crate::{
     FIRST_SEEN,
     INSTANCE_ROWS,
-    INSTANCES,
     exchange,
-    instance::Row,
     message::Feed,
     mirror::Mirror,
     node::Node,
@@ -38,6 +39,11 @@
     protocol::Protocol,
     weights::Sighting, //
 };
+use row::maintain_row;
+pub use row::{
+    is_row_lost,
+    write_row, //
+};
 
 /// Time for which the table may hold a long poll of operators' rows while nothing changes. Each
 /// response also confirms, to other instances too, that the view is fresh.
@@ -50,15 +56,13 @@
 const ENDPOINTS_BATCH_DELAY: Duration = Duration::from_millis(150);
 /// Batch delay for rows of instances.
 const INSTANCES_BATCH_DELAY: Duration = Duration::from_millis(300);
-/// Backoff after the table gave no answer: first and longest delay.
-const RETRY_BACKOFF: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(500));
+/// First delay after the table gave no answer.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Interval at which an instance rewrites its own row, so that others find it after the loss of
-/// all hubs.
-const ROW_INTERVAL: Duration = Duration::from_secs(20);
 /// Interval between checks of whether hubs still cover this instance.
 const COVERAGE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between checks of whether a configuration is known.
+const CATALOG_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Subscription to the rows under one prefix of the table.
 struct Subscription<'a, N> {
@@ -135,9 +139,34 @@
     );
 }
 
+/// Waits until a configuration is known. Before that, no instance is heard of, and endpoints that
+/// register one after the other would wake all instances.
+async fn wait_for_catalog<P: Protocol>(node: &Node<P>) {
+    while !node.has_catalog() {
+        tokio::time::sleep(CATALOG_CHECK_INTERVAL).await;
+    }
+}
+
+/// Whether this instance, which has been ready to rely on hubs since `ready_at`, leaves a feed to them.
+fn relies_on_hubs<P: Protocol>(node: &Node<P>, feed: Feed, ready_at: Option<Duration>) -> bool {
+    let now = clock::now();
+    if node.hub_rank().is_some() {
+        return false;
+    }
+    // Without the rows of other instances, no hub is heard.
+    let may_hear = feed != Feed::Instances || node.instance_count() > 1;
+    node.exchange.has_fresh_hub(now)
+        || may_hear && ready_at.is_some_and(|at| hub::may_hear_soon(now.saturating_sub(at)))
+}
+
 /// Waits while hubs pass on the changes, unless this instance is a hub itself.
-async fn wait_until_uncovered<P: Protocol>(node: &Node<P>, prefix: &str) {
-    let relies_on_hubs = || node.hub_rank().is_none() && node.exchange.has_fresh_hub(clock::now());
+async fn wait_until_uncovered<P: Protocol>(
+    node: &Node<P>,
+    prefix: &str,
+    feed: Feed,
+    ready_at: Option<Duration>,
+) {
+    let relies_on_hubs = || relies_on_hubs(node, feed, ready_at);
     if !relies_on_hubs() {
         return;
     }
@@ -164,15 +193,26 @@
 ) {
     let mut complete = false;
     let mut failures = 0_u32;
+    let mut ready_at = None;
+    let is_operator = subscription.feed == Feed::Operator;
     loop {
         if complete {
-            wait_until_uncovered(node, subscription.prefix).await;
+            if !is_operator {
+                wait_for_catalog(node).await;
+            }
+            if ready_at.is_none() && node.has_catalog() {
+                ready_at = Some(clock::now());
+            }
+            let Subscription { prefix, feed, .. } = subscription;
+            wait_until_uncovered(node, prefix, feed, ready_at).await;
         }
         // Read before the mirror may change, so that it does not cover the changes.
         let confirmed = node.exchange.confirmed();
         let base = subscription.mirror.revision();
         // A table that may be away is asked for an answer at once, which tells soon that it is back.
         let poll_timeout = match failures {
+            // The first configuration may be long in coming.
+            0 if is_operator && !node.has_catalog() => OTHER_POLL_TIMEOUT,
             0 => subscription.poll_timeout,
             _ => Duration::ZERO,
         };
@@ -196,7 +236,7 @@
                 node.enter_era(update.era);
                 // An answer of an earlier era may arrive late.
                 let is_current = node.era.is_current(update.era);
-                if matches!(subscription.feed, Feed::Operator) && is_current {
+                if is_operator && is_current {
                     node.exchange
                         .record_table_answer(clock::now(), update.clock);
                 }
@@ -220,7 +260,7 @@
                 if !changes.is_empty() || base.era < update.era {
                     (subscription.on_change)(&changes, confirmed);
                 }
-                if matches!(subscription.feed, Feed::Operator) {
+                if is_operator {
                     if let Some(clock) = update.clock.filter(|_| is_current) {
                         node.exchange.confirm(clock);
                     }
@@ -251,12 +291,18 @@
                 }
                 failures = failures.saturating_add(1);
                 availability.record_failure();
-                if matches!(subscription.feed, Feed::Operator) {
+                if is_operator {
                     let due_at = clock::now().min(sent_at + poll_timeout);
                     node.endpoints.record_table_failure(due_at);
                 }
+                // While calls fail again and again, one feed finds out for all when they do not.
+                let delay = if is_operator || failures == 1 {
+                    retry_delay(node, failures)
+                } else {
+                    OTHER_POLL_TIMEOUT
+                };
                 tokio::select! {
-                    () = tokio::time::sleep(retry_delay(failures)) => {}
+                    () = tokio::time::sleep(delay) => {}
                     () = availability.wait_for_return() => {}
                 }
             }
@@ -345,87 +391,15 @@
 }
 
 /// Exponential backoff with jitter, so that instances do not retry in step.
-fn retry_delay(failures: u32) -> Duration {
-    let (first, longest) = RETRY_BACKOFF;
-    let delay = first.saturating_mul(1 << failures.min(8)).min(longest);
+fn retry_delay<P: Protocol>(node: &Node<P>, failures: u32) -> Duration {
+    let hears_hub = node.hub_rank().is_none() && node.exchange.hears_hub(clock::now());
+    let longest = hub::max_retry_delay(hears_hub, node.instance_count());
+    let delay = FIRST_RETRY_DELAY
+        .saturating_mul(1 << failures.min(8))
+        .min(longest);
     delay.mul_f64(rand::rng().random_range(0.6..1.0))
 }
 
-/// Writes this instance's row once it knows a configuration, and rewrites it every [`ROW_INTERVAL`]
-/// and when a restored table lacks it, also during a planned stop.
-async fn maintain_row<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
-    let mut written = false;
-    loop {
-        // Versions are dated by the rows that other instances wrote, which their new ones replace.
-        if node.has_catalog() && node.mirrors.instances.is_read() {
-            if !written {
-                record_first_seen(node, table).await;
-            }
-            written = write_row(node, table).await;
-        }
-        let interval = if written {
-            ROW_INTERVAL
-        } else {
-            ROW_INTERVAL / 200
-        };
-        let jitter = rand::rng().random_range(0.9..1.1);
-        tokio::select! {
-            () = tokio::time::sleep(interval.mul_f64(jitter)) => {}
-            () = row_lost(node) => {}
-        }
-    }
-}
-
-/// Waits until this instance is to write its row again, which a restored table lacks.
-async fn row_lost<P: Protocol>(node: &Node<P>) {
-    loop {
-        node.row_lost.notified().await;
-        tokio::time::sleep(node.own_rewrite_delay()).await;
-        if is_row_lost(node) {
-            return;
-        }
-    }
-}
-
-/// Whether a restored table lacks this instance's row, or has that of an earlier incarnation or from
-/// before its planned stop.
-pub fn is_row_lost<P: Protocol>(node: &Node<P>) -> bool {
-    let instances = &node.mirrors.instances;
-    let era = instances.revision().era;
-    if node.era.restored_at().is_none() || !node.era.is_current(era) {
-        return false;
-    }
-    let value = instances.value(&format!("{INSTANCES}{}", node.config.name));
-    let row: Option<Row> = value.and_then(|value| serde_json::from_slice(&value).ok());
-    row.is_none_or(|row| row.incarnation != node.incarnation || row.leaving != node.is_stopping())
-}
-
-/// Writes this instance's row; `false` if the write may have failed.
-pub async fn write_row<P: Protocol, W: Watch>(node: &Node<P>, table: &W) -> bool {
-    let listen = &node.config.listen;
-    let written_at = node.exchange.table_time(clock::now());
-    let row = Row {
-        callers: listen.callers,
-        peers: listen.peers,
-        exchange: listen.exchange,
-        domain: node.config.domain.clone(),
-        link_mbps: node.config.link_mbps as u32,
-        leaving: node.is_stopping(),
-        incarnation: node.incarnation,
-        written_ms: written_at.and_then(|at| u64::try_from(at.as_millis()).ok()),
-    };
-    // Strings and numbers always encode.
-    let value = serde_json::to_vec(&row).unwrap_or_default();
-    let key = format!("{INSTANCES}{}", node.config.name);
-    match table.transact(Txn::default().put(key, value)).await {
-        Ok(_) => true,
-        Err(fault) => {
-            emit!(debug, event::TABLE_FAULT, prefix = INSTANCES, reason = %fault);
-            false
-        }
-    }
-}
-
 /// Periodically drops endpoints that did not register again after an outage of the table.
 async fn expire<P: Protocol>(node: &Node<P>) {
     loop {
--- a/crates/router/tests/mirror.rs
+++ b/crates/router/tests/mirror.rs
@@ -129,3 +129,17 @@
     replica.apply_delta(late);
     assert_eq!(replica.value("k1"), None);
 }
+
+/// Guards against instances of a new fleet that wait for a row of others before they register: a table
+/// that nobody has written to has no revision.
+#[test]
+fn an_empty_table_counts_as_read() {
+    let mirror = Mirror::default();
+    assert!(!mirror.is_read());
+    mirror.replace(Range {
+        revision: Revision::default(),
+        rows: Vec::new(),
+        clock: None,
+    });
+    assert!(mirror.is_read());
+}
