Limits: later owners within a window start with less, hubs pass on stops at once

Cause: each new owner of a limit began with a fifth of the capacity, whatever it was that came before. The tolerance covers one or two changes in a window; while all instances are stopped in turn there are more. And instances heard of a stop with the next full digest, up to 0.9 s apart.

Change: an owner that may not be the first within a window starts with a quarter of that; a hub that hears of a stop tells all others at once. An owner whose time is dated after the request's no longer ends the process: the difference of times was not saturating.

Ruled out by a trial: to start with nothing refuses the first request after a kill (a_limit_whose_owner_was_killed_has_another_owner_at_once).

--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -15,6 +15,8 @@
 const STEADY_FRACTION: f64 = 0.7;
 /// Fraction of the capacity that a new bucket starts with.
 const INITIAL_FRACTION: f64 = 0.2;
+/// Fraction of that which the bucket of a later owner within a window starts with.
+const LATER_OWNER_FRACTION: f64 = 0.25;
 /// Fraction of the capacity that is reserved for the most urgent requests.
 const RESERVE_FRACTION: f64 = 0.15;
 /// Longest time ahead for which units are promised to urgent requests that were refused; not all of
@@ -50,6 +52,8 @@
     pub rate: f64,
     /// Units that may be saved up.
     pub capacity: f64,
+    /// Units that a bucket starts with whose instance does not know what was spent before.
+    pub initial: f64,
 }
 
 impl Tolerance {
@@ -71,18 +75,22 @@
         let extra = (limit * tolerance.over + tolerance.slack) * USABLE_TOLERANCE_FRACTION;
         let steady_rate = (limit + extra) * STEADY_FRACTION / tolerance.window;
         let rate = rate.max(steady_rate);
+        let capacity = limit + extra - rate * tolerance.window;
         Self {
             rate,
-            capacity: limit + extra - rate * tolerance.window,
+            capacity,
+            initial: capacity * INITIAL_FRACTION,
         }
     }
 
     /// An equal share of the limit, for one of `instances`.
     pub fn equal(rate: f64, burst: f64, instances: usize) -> Self {
         let count = instances.max(1) as f64;
+        let capacity = burst / count;
         Self {
             rate: rate / count,
-            capacity: burst / count,
+            capacity,
+            initial: capacity * INITIAL_FRACTION,
         }
     }
 
@@ -91,6 +99,16 @@
         Self {
             rate: self.rate * fraction,
             capacity: self.capacity * fraction,
+            initial: self.initial * fraction,
+        }
+    }
+
+    /// The share of an owner that may be one of several within a window: the tolerance covers what the
+    /// first of them starts with, not as much for each.
+    pub fn of_later_owner(self) -> Self {
+        Self {
+            initial: self.initial * LATER_OWNER_FRACTION,
+            ..self
         }
     }
 }
@@ -118,7 +136,7 @@
     /// unused fraction of the tolerance covers some of it.
     pub fn new(since: Duration, share: Share) -> Self {
         Self {
-            level: share.capacity * INITIAL_FRACTION,
+            level: share.initial,
             updated_at: since,
             turns: Turns::default(),
         }
@@ -127,7 +145,7 @@
     /// Restarts the bucket nearly empty at `now`, since another owner spends from the limit.
     pub fn restart(&mut self, now: Duration, share: Share) {
         self.accrue(now, share);
-        self.level = self.level.min(share.capacity * INITIAL_FRACTION);
+        self.level = self.level.min(share.initial);
     }
 
     /// Charges `cost` units. Only urgent requests may use the reserve, and what is promised to those
--- a/crates/policy/tests/share.rs
+++ b/crates/policy/tests/share.rs
@@ -76,6 +76,7 @@
     let share = Share {
         rate: 1.0,
         capacity: 100.0,
+        initial: 20.0,
     };
     let mut bucket = Bucket::new(Duration::ZERO, share);
     let full = Duration::from_secs(1_000);
@@ -91,6 +92,7 @@
     let share = Share {
         rate: 10.0,
         capacity: 100.0,
+        initial: 20.0,
     };
     let mut bucket = Bucket::new(Duration::ZERO, share);
     let now = Duration::from_secs(100);
@@ -113,6 +115,7 @@
     let share = Share {
         rate: 10.0,
         capacity: 100.0,
+        initial: 20.0,
     };
     let mut bucket = Bucket::new(Duration::ZERO, share);
     let now = Duration::from_secs(100);
@@ -129,6 +132,7 @@
     let share = Share {
         rate: 1.0,
         capacity: 100.0,
+        initial: 20.0,
     };
     let mut bucket = Bucket::new(Duration::ZERO, share);
     let full = Duration::from_secs(1_000);
@@ -166,6 +170,57 @@
     }
 }
 
+/// Guards against an exceeded limit while instances are stopped in turn under a workspace that sends as
+/// much as it can: each of several owners within one window knows nothing of what was spent.
+#[test]
+fn no_window_exceeds_a_limit_whose_owner_changes_again_and_again() {
+    let tolerances = [
+        TOLERANCE,
+        Tolerance {
+            slack: 140_000.0,
+            ..TOLERANCE
+        },
+        Tolerance {
+            slack: 0.0,
+            ..TOLERANCE
+        },
+    ];
+    let rates = [(55_000.0, 110_000.0), (200_000.0, 100_000.0)];
+    let cost = 2_000.0;
+    let at = Duration::from_millis;
+    for (tolerance, (rate, burst)) in tolerances.iter().flat_map(|t| rates.map(|rate| (*t, rate))) {
+        let share = Share::whole(rate, burst, tolerance);
+        for gap_ms in [400, 1_100, 2_600] {
+            let changes: Vec<Duration> = (0..8).map(|n| at(20_000 + n * gap_ms)).collect();
+            let mut bucket = Bucket::new(Duration::ZERO, share);
+            let mut share = share.of_later_owner();
+            let mut admitted = Vec::new();
+            for step in 0..6_000_u64 {
+                let now = at(step * 10);
+                if changes.contains(&now) {
+                    let is_first = now == changes[0];
+                    share = Share::whole(rate, burst, tolerance);
+                    if !is_first {
+                        share = share.of_later_owner();
+                    }
+                    bucket = Bucket::new(now, share);
+                }
+                while bucket.charge(now, share, cost, true).is_ok() {
+                    admitted.push(now);
+                }
+            }
+            let limit = (rate * WINDOW + burst) * 1.1 + tolerance.slack;
+            let mut end = 0;
+            for (begin, from) in admitted.iter().enumerate() {
+                let is_within = |at: &&Duration| (**at - *from).as_secs_f64() < WINDOW;
+                end += admitted[end..].iter().take_while(is_within).count();
+                let spent = (end - begin) as f64 * cost;
+                assert!(spent <= limit + cost, "{spent} of {limit}, {gap_ms} ms");
+            }
+        }
+    }
+}
+
 /// Guards against an exceeded limit when instances are restarted in turn and each owner comes back:
 /// its bucket must not have filled up while the other one granted units.
 #[test]
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -204,8 +204,8 @@
         }
     }
 
-    /// Records a heartbeat.
-    fn record_sighting(&self, heartbeat: Heartbeat, now: Duration) {
+    /// Records a heartbeat; returns whether the one before said that the instance was stopping.
+    fn record_sighting(&self, heartbeat: Heartbeat, now: Duration) -> bool {
         let mut state = self.state.lock();
         let sighting = Sighting {
             heartbeat,
@@ -215,8 +215,14 @@
             .sightings
             .binary_search_by(|known| known.heartbeat.name.cmp(&sighting.heartbeat.name))
         {
-            Ok(index) => state.sightings[index] = sighting,
-            Err(index) => state.sightings.insert(index, sighting),
+            Ok(index) => {
+                let before = std::mem::replace(&mut state.sightings[index], sighting);
+                before.heartbeat.leaving
+            }
+            Err(index) => {
+                state.sightings.insert(index, sighting);
+                false
+            }
         }
     }
 }
@@ -268,11 +274,7 @@
 async fn handle<P: Protocol>(node: &Arc<Node<P>>, message: Message, from: SocketAddr) {
     let now = clock::now();
     match message {
-        Message::Heartbeat(heartbeat) => {
-            node.members
-                .record_heartbeat(name_hash(&heartbeat.name), heartbeat.leaving, now);
-            node.exchange.record_sighting(heartbeat, now);
-        }
+        Message::Heartbeat(heartbeat) => handle_heartbeat(node, heartbeat, now).await,
         Message::Digest(digest) => handle_digest(node, &digest, from, now),
         Message::Push(push) => {
             node.endpoints
@@ -324,6 +326,26 @@
     }
 }
 
+async fn handle_heartbeat<P: Protocol>(node: &Node<P>, heartbeat: Heartbeat, now: Duration) {
+    let name = name_hash(&heartbeat.name);
+    let is_leaving = heartbeat.leaving;
+    node.members.record_heartbeat(name, is_leaving, now);
+    let was_leaving = node.exchange.record_sighting(heartbeat, now);
+    if is_leaving && !was_leaving && node.hub_rank().is_some() {
+        // Instances that learn of a stop at different times differ in who owns a limit meanwhile.
+        let alive = vec![Liveness {
+            name,
+            leaving: true,
+            ago_tenths: 0,
+        }];
+        let digest = Digest {
+            alive,
+            ..digest(node, now, false)
+        };
+        send_all(node, &Message::Digest(digest)).await;
+    }
+}
+
 fn handle_digest<P: Protocol>(
     node: &Arc<Node<P>>,
     digest: &Digest,
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -106,6 +106,17 @@
     }
 }
 
+/// A set of live instances.
+#[derive(Clone, Copy, Debug)]
+struct Membership {
+    /// Digest of their names and incarnations.
+    digest: u64,
+    /// Time since which it is unchanged.
+    since: Duration,
+    /// For how long the set before it was unchanged; zero for the first one.
+    before: Duration,
+}
+
 /// All registered instances.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -113,8 +124,8 @@
     ///
     /// Sorted by name.
     members: RwLock<Vec<Member>>,
-    /// Digest of the live instances at the last check, and the time since which it is unchanged.
-    membership: Mutex<Option<(u64, Duration)>>,
+    /// The live instances as of the last check.
+    membership: Mutex<Option<Membership>>,
     /// Time of the latest datagram of any other instance.
     heard_at: Mutex<Duration>,
 }
@@ -243,15 +254,31 @@
 
     /// Time since which the set of live instances and their incarnations is unchanged.
     pub fn stable_since(&self, now: Duration) -> Duration {
+        self.membership(now).since
+    }
+
+    /// Whether the set of live instances and their incarnations has changed at most once within the
+    /// last `window`, as far as this instance knows.
+    pub fn is_calm(&self, window: Duration, now: Duration) -> bool {
+        let membership = self.membership(now);
+        now.saturating_sub(membership.since) >= window || membership.before >= window
+    }
+
+    fn membership(&self, now: Duration) -> Membership {
         let digest = self.with_live(now, |members| {
             members.iter().fold(0_u64, |digest, member| {
                 digest.rotate_left(1) ^ xxh3_64(member.name.as_bytes()) ^ member.row.incarnation
             })
         });
         let mut membership = self.membership.lock();
-        let unchanged = membership.filter(|(known, _)| *known == digest);
-        let (_, since) = *membership.insert(unchanged.unwrap_or((digest, now)));
-        since
+        let known = *membership;
+        let changed = || Membership {
+            digest,
+            since: now,
+            before: known.map_or(Duration::ZERO, |known| now.saturating_sub(known.since)),
+        };
+        let unchanged = known.filter(|known| known.digest == digest);
+        *membership.insert(unchanged.unwrap_or_else(changed))
     }
 
     /// Live instances, sorted by name.
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -45,7 +45,8 @@
     },
     node::Node,
     peer,
-    protocol::Protocol, //
+    protocol::Protocol,
+    stream::millis, //
 };
 
 /// Timeout for the answer of an owner: many round trips within a region.
@@ -152,7 +153,7 @@
             // The units that a previous owner granted are unknown, so a new bucket starts nearly
             // empty at `since`, when this instance became the owner.
             let bucket = entry.owner_bucket.get_or_insert_with(|| {
-                let age_ms = u64::try_from((now - since).as_millis()).unwrap_or(u64::MAX);
+                let age_ms = millis(now.saturating_sub(since));
                 emit!(
                     info,
                     event::LIMIT_OWNED,
@@ -195,7 +196,7 @@
     ) -> Result<(), Duration> {
         let instances = node.instance_count();
         let (rate, burst) = (limit.rate, limit.burst);
-        let whole = full_share(node, limit);
+        let whole = full_share(node, limit, now);
         let hub_saw_table_at = node.exchange.hub_saw_table_at();
         self.with_entry(workspace, now, |entry| {
             let since = *entry.silent_since.get_or_insert_with(|| {
@@ -353,7 +354,7 @@
     let owner = loop {
         let now = clock::now();
         let Some(owner) = remote_owner(node, workspace, now) else {
-            let share = full_share(node, limit);
+            let share = full_share(node, limit, now);
             let since = node.members.stable_since(now);
             let result = node.quotas.charge_owned(workspace, share, &req, since, now);
             return result.map_err(exceeded(Decider::Local));
@@ -367,9 +368,9 @@
         let message = |id| Message::GrantRequest(GrantRequest { id, ..req.clone() });
         let answer = exchange::query(node, owner, message);
         if let Ok(Some(Message::Grant(grant))) = tokio::time::timeout(OWNER_TIMEOUT, answer).await {
-            let share = full_share(node, limit);
-            node.quotas
-                .record_other_owner(workspace, share, clock::now());
+            let now = clock::now();
+            let share = full_share(node, limit, now);
+            node.quotas.record_other_owner(workspace, share, now);
             return units_ahead(&grant).map_err(exceeded(Decider::Owner(owner)));
         }
         emit!(
@@ -406,8 +407,8 @@
     let workspace = catalog
         .workspaces()
         .find(|workspace| *workspace.name == *request.workspace)?;
-    let share = full_share(node, workspace.limit?);
     let now = clock::now();
+    let share = full_share(node, workspace.limit?, now);
     let since = match remote_owner(node, &workspace.name, now) {
         None => node.members.stable_since(now),
         // The requesting instance has learned of a change of members before this one.
@@ -426,10 +427,15 @@
 }
 
 /// The limit of a workspace, as its owner enforces it, less the parts of silent instances.
-fn full_share<P: Protocol>(node: &Node<P>, limit: Limit) -> Share {
+fn full_share<P: Protocol>(node: &Node<P>, limit: Limit, now: Duration) -> Share {
     let whole = Share::whole(limit.rate, limit.burst, tolerance(node));
-    let fraction = node.members.heard_fraction(&node.config.name, clock::now());
-    whole.scaled(fraction)
+    let fraction = node.members.heard_fraction(&node.config.name, now);
+    let share = whole.scaled(fraction);
+    if node.members.is_calm(node.config.bounds.quota_window, now) {
+        share
+    } else {
+        share.of_later_owner()
+    }
 }
 
 fn tolerance<P>(node: &Node<P>) -> Tolerance {
--- a/crates/router/tests/tables.rs
+++ b/crates/router/tests/tables.rs
@@ -401,6 +401,22 @@
     assert_eq!(members.stable_since(started * 2), started);
 }
 
+/// Guards against owners of limits that each take themselves for the first new one in a window while
+/// instances are stopped in turn.
+#[test]
+fn membership_is_calm_again_a_window_after_the_last_but_one_change() {
+    const WINDOW: Duration = Duration::from_secs(8);
+    let second = Duration::from_secs;
+    let members = Table::default();
+    // It is not known what was before the start.
+    assert!(!members.is_calm(WINDOW, second(1)));
+    assert!(members.is_calm(WINDOW, second(9)));
+    members.apply_row("a", Some(row()), 1.into(), second(20));
+    assert!(members.is_calm(WINDOW, second(20)));
+    members.apply_row("b", Some(row()), 2.into(), second(21));
+    assert!(!members.is_calm(WINDOW, second(21)));
+}
+
 #[test]
 fn membership_is_stable_since_its_last_change() {
     let members = Table::default();
