--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -277,7 +277,7 @@
             config["advertise_peer"] = json!(relays.peer.address());
         }
         let path = self.directory.join(format!("i{index}.json"));
-        let program = older::daemon_binary("damaskd", index, path.exists())?;
+        let program = older::daemon_binary("damaskd", index, u32::from(path.exists()))?;
         fs::write(&path, config.to_string())?;
         let path = path.to_string_lossy().into_owned();
         let mut flags = vec!["--config", &path, "--log-level"];
