Hubs pass on what is small; an instance without a configuration passes on no state

All instances fetched the rows of all endpoints that registered at the start from the hubs, and while no configuration was known, asked three seeds for their whole state every 0.5 s.

Change: changes of more than 128 KB are not passed on, and an instance reads the table then, as when no hub is heard; a seed without a configuration answers 503 to a request for its state.

Test: a fleet that starts while 3,000 endpoints register (module without network), red before: the changes had no bound.

--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -40,6 +40,11 @@
 /// with a dot between.
 pub const CHANGES_PATH: &str = "/v1/changes";
 
+/// Maximum size of the changes that an instance fetches from another one, in bytes. While many endpoints
+/// register, all instances would fetch all of them from the hubs, whose links and memory are small; they read
+/// the table instead.
+pub const MAX_DELTAS_BYTES: usize = 128 << 10;
+
 /// Path that returns the rows of operators that are in force at an instance and that the table may
 /// lack. The era in which the requesting instance has read the table follows after a slash.
 pub const IN_FORCE_PATH: &str = "/v1/in-force";
@@ -155,7 +160,8 @@
     connected.is_ok_and(|c| c.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused))
 }
 
-/// Response to a request for [`CHANGES_PATH`]; `None` if `path` is another path or malformed.
+/// Response to a request for [`CHANGES_PATH`]; `None` if `path` is another path or malformed, or if the
+/// changes are larger than [`MAX_DELTAS_BYTES`].
 pub fn answer_changes<P: Protocol>(node: &Node<P>, path: &str) -> Option<Bytes> {
     let revisions = path.strip_prefix(CHANGES_PATH)?.strip_prefix('/')?;
     let mut revisions = revisions.split('/').map(|text| text.parse().ok());
@@ -165,8 +171,12 @@
         endpoints: node.mirrors.endpoints.since(next_revision()?),
         instances: node.mirrors.instances.since(next_revision()?),
     };
+    encode_deltas(&deltas)
+}
+
+/// Encodes changes for another instance; `None` if they are larger than [`MAX_DELTAS_BYTES`].
+pub fn encode_deltas(deltas: &Deltas) -> Option<Bytes> {
     // Encoding fails only if the deltas do not fit into memory.
-    Some(Bytes::from(
-        postcard::to_stdvec(&deltas).unwrap_or_default(),
-    ))
+    let bytes = postcard::to_stdvec(deltas).unwrap_or_default();
+    (bytes.len() <= MAX_DELTAS_BYTES).then(|| bytes.into())
 }
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -249,6 +249,10 @@
             return relay::serve(&self.0, request).await;
         }
         if path == peer::STATE_PATH {
+            // Without a configuration, the state helps nobody to get ready.
+            if !self.0.has_catalog() {
+                return status(StatusCode::SERVICE_UNAVAILABLE);
+            }
             return json(self.0.export().encode());
         }
         let answer = peer::answer_in_force(&self.0, path)
--- a/crates/router/tests/mirror.rs
+++ b/crates/router/tests/mirror.rs
@@ -9,7 +9,14 @@
     Row, //
 };
 use quickcheck::quickcheck;
-use router::mirror::Mirror;
+use router::{
+    message::Deltas,
+    mirror::Mirror,
+    peer::{
+        MAX_DELTAS_BYTES,
+        encode_deltas, //
+    }, //
+};
 
 fn change(key: u8, value: Option<u8>, revision: u64) -> Change {
     Change {
@@ -143,3 +150,25 @@
     });
     assert!(mirror.is_read());
 }
+
+/// Load: a fleet of 300 instances starts while 3,000 endpoints register. If each instance fetched all of
+/// their rows from a hub, the hub would hold a copy for each and send them for seconds.
+#[test]
+fn instances_do_not_fetch_the_rows_of_thousands_of_endpoints_from_a_hub() {
+    let deltas_of = |endpoints: u64| {
+        let hub = Mirror::default();
+        let rows = (1..=endpoints).map(|number| Change {
+            key: format!("servers/i-{number:010x}"),
+            value: Some(vec![7; 150]),
+            revision: number.into(),
+        });
+        hub.apply(changes(rows.collect(), endpoints));
+        Deltas {
+            endpoints: hub.since(Revision::default()),
+            ..Deltas::default()
+        }
+    };
+    assert!(encode_deltas(&deltas_of(3_000)).is_none());
+    let few = encode_deltas(&deltas_of(100)).unwrap();
+    assert!(few.len() <= MAX_DELTAS_BYTES);
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -64,7 +64,7 @@
     SETTINGS_FILE_CHANGED = 211;
     /// No hub reported a fresh view; this instance reads the table itself until one does.
     HUBS_SILENT = 212;
-    /// A hub reported a fresh view; this instance leaves reading the table to it.
+    /// A hub reported a fresh view, or may do so within a second of the start; this instance leaves reading the table to it.
     HUBS_HEARD = 213;
     /// The table was restored from an older copy; rows that were acknowledged in the era before may be gone.
     TABLE_RESTORED = 214;
