Events: age of a configuration, fetches of changes and their time, lag behind hubs

CATALOG_IN_FORCE says how long the table may have held the configuration; CHANGES_FETCHED and CHANGES_UNFETCHED name the instance asked, the time and what came or why nothing did; HUBS_SILENT says for how long changes were lacking. Before, logs could not tell a hub without the table from a fetch that fails or from a hub that is busy.

--- a/crates/router/src/exchange/fetch.rs
+++ b/crates/router/src/exchange/fetch.rs
@@ -6,11 +6,13 @@
 };
 
 use platform::http::Client;
+use state::clock;
 use telemetry::{
     emit,
     event, //
 };
 
+use super::whole_millis;
 use crate::{
     message::{
         Deltas,
@@ -75,13 +77,25 @@
 
 async fn fetch_deltas<P: Protocol>(node: &Node<P>, address: SocketAddr) {
     let client: &Client = &node.peers;
-    let deltas: Deltas = match peer::fetch_changes(node, client, address).await {
+    let start = clock::now();
+    let fetched = peer::fetch_changes(node, client, address).await;
+    let took_ms = whole_millis(clock::now().saturating_sub(start));
+    let deltas: Deltas = match fetched {
         Ok(deltas) => deltas,
         Err(reason) => {
-            emit!(debug, event::PEER_FAULT, peer = %address, reason = %reason);
+            emit!(warn, event::CHANGES_UNFETCHED, peer = %address, took_ms = took_ms, reason = %reason);
             return;
         }
     };
+    emit!(
+        info,
+        event::CHANGES_FETCHED,
+        peer = %address,
+        took_ms = took_ms,
+        operator = deltas.operator.changes.len(),
+        endpoints = deltas.endpoints.changes.len(),
+        instances = deltas.instances.changes.len(),
+    );
     // A hub that restarted meanwhile may have fewer changes; those that it has are applied anyway.
     apply_delta(node, Feed::Operator, deltas.operator);
     apply_delta(node, Feed::Endpoints, deltas.endpoints);
--- a/crates/router/src/exchange/freshness.rs
+++ b/crates/router/src/exchange/freshness.rs
@@ -24,6 +24,12 @@
         hub::is_any_fresh(&observations.collect::<Vec<_>>())
     }
 
+    /// Time for which this instance has lacked changes that a hub reported; `None` if it lacks none.
+    pub fn lag(&self, now: Duration) -> Option<Duration> {
+        let lagging_since = self.state.lock().lagging_since?;
+        Some(now.saturating_sub(lagging_since))
+    }
+
     /// Whether a hub has sent a digest within the last few digest intervals, however old its view
     /// of the table is.
     pub fn hears_hub(&self, now: Duration) -> bool {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -324,7 +324,7 @@
                 continue;
             };
             let is_newer = match P::read_operator_row(&change.key, value) {
-                Ok(OperatorRow::Catalog(catalog)) => self.activate(*catalog),
+                Ok(OperatorRow::Catalog(catalog)) => self.activate(*catalog, confirmed),
                 Ok(OperatorRow::Weights { model, version }) => {
                     self.set_rollout(model, version, change.revision, confirmed)
                 }
@@ -362,16 +362,22 @@
     }
 
     /// Puts a configuration in force if it is newer than the current one; returns whether it is.
-    fn activate(&self, catalog: Catalog) -> bool {
+    /// `confirmed` is a time by the table's clock at which the table did not have it.
+    fn activate(&self, catalog: Catalog, confirmed: Option<Duration>) -> bool {
         let in_force = self.catalog.load().as_ref().map_or(0, |c| c.version);
         if catalog.version <= in_force {
             return false;
         }
+        let table_time = self.exchange.table_time(clock::now());
+        let age = table_time
+            .zip(confirmed)
+            .map(|(now, confirmed)| now.saturating_sub(confirmed));
         emit!(
             info,
             event::CATALOG_IN_FORCE,
             version = catalog.version,
             before = in_force,
+            age_ms = age.map(exchange::whole_millis),
         );
         self.catalog.store(Some(Arc::new(catalog)));
         true
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -31,7 +31,10 @@
 use crate::{
     FIRST_SEEN,
     INSTANCE_ROWS,
-    exchange,
+    exchange::{
+        self,
+        whole_millis, //
+    },
     message::Feed,
     mirror::Mirror,
     node::Node,
@@ -181,7 +184,8 @@
         info,
         event::HUBS_SILENT,
         prefix = prefix,
-        hub = node.hub_rank()
+        hub = node.hub_rank(),
+        lag_ms = node.exchange.lag(clock::now()).map(whole_millis),
     );
 }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -54,7 +54,7 @@
     TABLE_REGAINED = 206;
     /// The table no longer has the requested change history; all rows are read again.
     HISTORY_LOST = 207;
-    /// A configuration is in force.
+    /// A configuration is in force; the table may have held it for up to `age_ms`, if known.
     CATALOG_IN_FORCE = 208;
     /// A row written by the operator cannot be parsed; its last valid content stays in force.
     CATALOG_UNREADABLE = 209;
@@ -62,7 +62,7 @@
     WEIGHTS_WANTED = 210;
     /// The settings file has changed; the change takes effect after the next start.
     SETTINGS_FILE_CHANGED = 211;
-    /// No hub reported a fresh view; this instance reads the table itself until one does.
+    /// No hub reported a fresh view, or this instance has lacked changes that one reported for `lag_ms`; it reads the table itself until one does.
     HUBS_SILENT = 212;
     /// A hub reported a fresh view, or may do so within a second of the start; this instance leaves reading the table to it.
     HUBS_HEARD = 213;
@@ -70,6 +70,12 @@
     TABLE_RESTORED = 214;
     /// A row of the table is not encoded as rows are; it counts as a row that cannot be parsed, or is skipped if its key or revision cannot be read.
     ROW_UNREADABLE = 215;
+    /// Changes that this instance lacked were fetched from another instance.
+    CHANGES_FETCHED = 216;
+    /// Changes that this instance lacks could not be fetched from another instance; they are fetched from the next one that reports them, or read from the table.
+    CHANGES_UNFETCHED = 217;
+    /// Whether this instance reads the table for the others, as a hub or in place of one that does not see the table; `rank` is 0 for the first of them, and missing once it no longer does.
+    TABLE_READER = 218;
     /// The instance list did not answer; the last known members stay in use.
     INSTANCES_FAULT = 300;
     /// A peer could not be reached or closed the connection.
