Hubs read and pass on changes while their writes about weights wait

Seen: a configuration comes into force seconds late at a hub, and at those that rely on it, when weights were named shortly before and writes are slow or lost.

Cause: the subscription to rows of operators wrote the first sighting of each version, one after the other with a timeout of 1 s each, before it passed the changes on and before it read again; the writes were repeated after each read. Class: something urgent waits in line behind calls that may time out.

Fix: a task of its own writes the sightings. It is told of each answer, and any number of answers during a write count as one.

--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -85,6 +85,8 @@
     is_lost: AtomicBool,
     /// Notified by the first answer after failed calls.
     returned: Notify,
+    /// Notified by each answer about rows of operators.
+    answered: Notify,
 }
 
 impl Availability {
@@ -137,6 +139,7 @@
         follow(&node, &table, &availability, endpoints),
         follow(&node, &table, &availability, instances),
         maintain_row(&node, &table),
+        follow_versions(&node, &table, &availability),
         restore_first_seen(&node, &table),
         expire(&node),
     );
@@ -268,7 +271,7 @@
                     if let Some(clock) = update.clock.filter(|_| is_current) {
                         node.exchange.confirm(clock);
                     }
-                    record_first_seen(node, table).await;
+                    availability.answered.notify_one();
                 }
                 if !changes.is_empty() {
                     exchange::push(node, subscription.feed, base).await;
@@ -358,6 +361,19 @@
     record(node, table, node.unrecorded_versions()).await;
 }
 
+/// Records versions after each answer about rows of operators, until the task is aborted. The
+/// subscription itself must not wait for writes: changes would be late.
+async fn follow_versions<P: Protocol, W: Watch>(
+    node: &Node<P>,
+    table: &W,
+    availability: &Availability,
+) {
+    loop {
+        availability.answered.notified().await;
+        record_first_seen(node, table).await;
+    }
+}
+
 /// Writes the records again that a restored table lacks, or has with later times, until the task is
 /// aborted.
 async fn restore_first_seen<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
