Instances notice what they lack whatever hubs that are behind report

Seen: an instance that the table serves keeps a superseded configuration, for as long as the table turns one hub away: dropped routes are served, and withdrawn keys. The change is larger than what hubs answer with, or fetches of it fail.

Cause: each digest that brought nothing new cleared the time since which the instance lagged. The digests of a hub that is itself behind did so every 0.3 s, while another hub made the instance look covered; so the lag never reached the 0.6 s after which the table is read. Class: evidence of one source overwritten by the silence of another.

Fix: the positions that were reported and are not reached are kept until they are reached. A stream of changes, each of which arrives in time, is no lag.

Evidence: CHANGES_UNFETCHED every 0.3 s with status 404 from two hubs, without HUBS_SILENT.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -140,8 +140,8 @@
     complete_until: Option<Duration>,
     /// Whether a fetch from a hub is in progress.
     is_fetching: bool,
-    /// Time since which a hub has changes that this instance lacks.
-    lagging_since: Option<Duration>,
+    /// Positions of a hub that this instance has not reached, and when it was told of them.
+    unreached: Option<(Positions, Duration)>,
     /// Queries to other instances that have no answer yet, by id.
     pending: Vec<(u32, oneshot::Sender<Message>)>,
     /// Id of the latest query.
@@ -380,17 +380,18 @@
         (&node.mirrors.endpoints, positions.endpoints),
         (&node.mirrors.instances, positions.instances),
     ];
-    let all_current = pairs
+    let is_current = pairs
         .iter()
         .fold(true, |all, (mirror, other)| mirror.advance(*other) && all);
-    let mut state = node.exchange.state.lock();
-    if all_current {
-        state.lagging_since = None;
-        return;
+    node.exchange.record_positions(positions, now, |known| {
+        let mirrors = &node.mirrors;
+        mirrors.operator.has(known.operator)
+            && mirrors.endpoints.has(known.endpoints)
+            && mirrors.instances.has(known.instances)
+    });
+    if !is_current {
+        fetch(node, from);
     }
-    state.lagging_since.get_or_insert(now);
-    drop(state);
-    fetch(node, from);
 }
 
 /// Sends heartbeats to the hubs and, from a hub, digests to all other instances.
--- a/crates/router/src/mirror.rs
+++ b/crates/router/src/mirror.rs
@@ -183,17 +183,21 @@
         Some(snapshot.apply_new(delta.changes, delta.position.revision))
     }
 
+    /// Whether this mirror has all changes that another instance's mirror at this position has.
+    pub fn has(&self, other: Position) -> bool {
+        self.snapshot.lock().has(other)
+    }
+
     /// Advances the revision to that of another instance's mirror; `false` if this mirror is
     /// missing changes that the other one has.
     pub fn advance(&self, other: Position) -> bool {
         let mut snapshot = self.snapshot.lock();
-        if snapshot.revision.era != other.revision.era {
-            return snapshot.revision > other.revision;
-        }
-        if snapshot.revision < other.changed {
+        if !snapshot.has(other) {
             return false;
         }
-        snapshot.revision = snapshot.revision.max(other.revision);
+        if snapshot.revision.era == other.revision.era {
+            snapshot.revision = snapshot.revision.max(other.revision);
+        }
         true
     }
 
@@ -298,6 +302,14 @@
 }
 
 impl Snapshot {
+    /// Changes of a later era do not fit these rows, even if there are none.
+    fn has(&self, other: Position) -> bool {
+        if self.revision.era != other.revision.era {
+            return self.revision > other.revision;
+        }
+        self.revision >= other.changed
+    }
+
     /// Like [`Snapshot::apply`], but ignores changes up to the present revision: they may be of rows
     /// that were deleted since.
     fn apply_new(&mut self, mut changes: Vec<Change>, revision: Revision) -> Vec<Change> {
