Other instances read the table in place of hubs that do not see it

Seen: a third of 100 instances, all hubs among them, is turned away by the table: 35 serve the configuration of 6.5 s until 16.9 s, 9.4 s later than the others. A key that was withdrawn is served there for as long. The other 65 each read the table by themselves meanwhile.

Cause: hubs are chosen by name, domain and link, and stay hubs without the table. Whoever else reads it passed nothing on. Class: a role that is given by name and not by whether its holder can fill it.

Fix: the readers of the table are the hubs and, in place of each whose digest shows no fresh view or that is silent, the next instance in the same order, up to twelve. All send digests; the first that sees the table pushes. Those that do not see it stay readers and take their place again when they do. The hubs still gather heartbeats, records and evidence.

In policy, for the new function: others_read_the_table_in_place_of_hubs_that_do_not_see_it and two more.

--- a/crates/policy/src/hub.rs
+++ b/crates/policy/src/hub.rs
@@ -1,9 +1,9 @@
 //! Selection of the hubs, the instances that read the platform's table for the others.
 //!
 //! If every instance followed the table, the load on the table would grow with
-//! the fleet. A few hubs follow the table and forward its changes. The other
-//! instances read the table themselves only while no hub with a fresh view is
-//! heard from.
+//! the fleet. A few hubs follow the table and forward its changes, and others in
+//! place of those that do not see the table. The other instances read the table
+//! themselves only while no hub with a fresh view is heard from.
 
 use std::time::Duration;
 
@@ -11,6 +11,9 @@
 
 /// Number of instances that follow the table: one may be frozen while another restarts.
 pub const HUBS: usize = 3;
+/// Maximum number of readers of the table, those that do not see it included. In an outage, all of them
+/// send their digests to all instances.
+pub const MAX_READERS: usize = 4 * HUBS;
 /// Time without a message from a hub after which the hub counts as failed and an instance reads
 /// the table itself. Together with the duration of one read it is well below the time within which
 /// a configuration must be in force.
@@ -41,10 +44,19 @@
 /// failure domain comes first. The order is that of the names' hashes, so all
 /// instances agree on it.
 pub fn pick(candidates: &[Candidate<'_>]) -> Vec<usize> {
-    let any_fast = candidates.iter().any(|candidate| candidate.has_fast_link);
+    let mut selected = order(candidates, true);
+    if selected.is_empty() {
+        selected = order(candidates, false);
+    }
+    selected.truncate(HUBS);
+    selected
+}
+
+/// Candidates whose links are fast, or are not, in the order in which they are selected.
+fn order(candidates: &[Candidate<'_>], has_fast_link: bool) -> Vec<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
-    order.retain(|&index| !any_fast || candidates[index].has_fast_link);
-    order.sort_by_key(|&index| xxh3_64(candidates[index].name.as_bytes()));
+    order.retain(|&index| candidates[index].has_fast_link == has_fast_link);
+    order.sort_by_cached_key(|&index| xxh3_64(candidates[index].name.as_bytes()));
     let mut domains: Vec<&str> = Vec::new();
     let (mut selected, mut others) = (Vec::new(), Vec::new());
     for index in order {
@@ -57,10 +69,35 @@
         }
     }
     selected.extend(others);
-    selected.truncate(HUBS);
     selected
 }
 
+/// Rank of the candidate `own` among the readers, which read the table for all; `None` if it is none.
+///
+/// The readers are the hubs and, in place of each that is known not to see the table, the next
+/// candidate in order, up to [`MAX_READERS`]. The rank is the number of readers before it that may see
+/// the table. Those that do not stay readers, so that they are the first to do so again.
+pub fn reader_rank(
+    candidates: &[Candidate<'_>],
+    own: usize,
+    is_stale: impl Fn(usize) -> bool,
+) -> Option<usize> {
+    let wanted = pick(candidates).len();
+    let slow = order(candidates, false);
+    let readers = order(candidates, true).into_iter().chain(slow);
+    let mut rank = 0;
+    for index in readers.take(MAX_READERS) {
+        if rank == wanted {
+            return None;
+        }
+        if index == own {
+            return Some(rank);
+        }
+        rank += usize::from(!is_stale(index));
+    }
+    None
+}
+
 /// The latest message from a hub.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Observation {
--- a/crates/policy/tests/hub.rs
+++ b/crates/policy/tests/hub.rs
@@ -5,11 +5,13 @@
 use policy::hub::{
     Candidate,
     HUBS,
+    MAX_READERS,
     Observation,
     is_any_fresh,
     max_retry_delay,
     may_hear_soon,
-    pick, //
+    pick,
+    reader_rank, //
 };
 use quickcheck::quickcheck;
 
@@ -72,6 +74,60 @@
     }
 }
 
+/// Readers of the table with their ranks, sorted by rank and then by index.
+fn readers(candidates: &[Candidate<'_>], stale: &[usize]) -> Vec<(usize, usize)> {
+    let is_stale = |index: usize| stale.contains(&index);
+    let mut readers: Vec<(usize, usize)> = (0..candidates.len())
+        .filter_map(|own| Some((reader_rank(candidates, own, is_stale)?, own)))
+        .collect();
+    readers.sort_unstable();
+    readers
+}
+
+/// Guards against a fleet in which nobody passes on what changes, since the table turns all hubs away.
+#[test]
+fn others_read_the_table_in_place_of_hubs_that_do_not_see_it() {
+    let names: Vec<String> = (0..86).map(|n| format!("front-{n}")).collect();
+    let candidates = candidates(&names);
+    let hubs = pick(&candidates);
+    let ranked: Vec<(usize, usize)> = hubs.iter().copied().enumerate().collect();
+    assert_eq!(readers(&candidates, &[]), ranked);
+    for stale in 1..=HUBS {
+        let stale = &hubs[..stale];
+        let all = readers(&candidates, stale);
+        let fresh = all.iter().filter(|(_, index)| !stale.contains(index));
+        let ranks: Vec<usize> = fresh.map(|(rank, _)| *rank).collect();
+        assert_eq!(ranks, [0, 1, 2]);
+        // They are the first to see the table again.
+        assert!(
+            stale
+                .iter()
+                .all(|hub| all.iter().any(|(_, index)| index == hub))
+        );
+    }
+}
+
+/// Guards against a fleet that has fewer fast links than hubs and reads the table over slow ones.
+#[test]
+fn slow_links_read_the_table_only_in_place_of_hubs() {
+    let names: Vec<String> = (0..20).map(|n| format!("front-{n}")).collect();
+    let mut candidates = candidates(&names);
+    for (index, candidate) in candidates.iter_mut().enumerate() {
+        candidate.has_fast_link = index == 7;
+    }
+    assert_eq!(readers(&candidates, &[]), [(0, 7)]);
+    assert_eq!(readers(&candidates, &[7]).len(), 2);
+}
+
+/// Load: the table is away for all. The instances that send digests to all must not grow with the fleet.
+#[test]
+fn readers_of_a_table_that_nobody_sees_do_not_grow_with_the_fleet() {
+    let names: Vec<String> = (0..889).map(|n| format!("front-{n}")).collect();
+    let candidates = candidates(&names);
+    let all: Vec<usize> = (0..candidates.len()).collect();
+    assert_eq!(readers(&candidates, &all).len(), MAX_READERS);
+}
+
 /// Guards against instances that rely on hubs without a fresh view: the table refuses the hubs but
 /// serves the others, or the hubs are frozen.
 #[test]
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -3,13 +3,14 @@
 //!
 //! Each instance sends heartbeats to the hubs. Each hub sends all other instances
 //! a digest of the heartbeats that it received and of the positions of its
-//! mirrors of the table. Changes that were lost in transit are fetched over a
+//! mirrors of the table, as does each instance that reads the table in its place. Changes that were lost in transit are fetched over a
 //! connection.
 
 mod fetch;
 mod freshness;
 mod outage;
 mod query;
+mod roles;
 mod send;
 mod time;
 
@@ -22,10 +23,6 @@
 use anyhow::Context;
 use parking_lot::Mutex;
 use platform::table::Revision;
-use policy::hub::{
-    self,
-    Candidate, //
-};
 use state::clock;
 use telemetry::{
     emit,
@@ -41,10 +38,7 @@
 
 use crate::{
     bulkhead,
-    instance::{
-        Member,
-        name_hash, //
-    },
+    instance::name_hash,
     limit,
     message::{
         Digest,
@@ -90,6 +84,7 @@
     fetch,
     mirror, //
 };
+use roles::pick_hubs;
 
 /// Interval between the digests of a hub.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -138,6 +133,8 @@
     confirmed: Option<Duration>,
     /// Local time up to which they were complete before the last restore of the table.
     complete_until: Option<Duration>,
+    /// Rank of this instance among the readers of the table, if it is one.
+    reader_rank: Option<usize>,
     /// Whether a fetch from a hub is in progress.
     is_fetching: bool,
     /// Positions of a hub that this instance has not reached, and when it was told of them.
@@ -154,7 +151,7 @@
     /// Socket for all datagrams.
     pub socket: Arc<UdpSocket>,
     state: Mutex<State>,
-    /// Notified when the rank of this instance among the hubs changes.
+    /// Notified when the rank of this instance among the hubs or the readers of the table changes.
     pub hubs_changed: Notify,
 }
 
@@ -227,24 +224,6 @@
     }
 }
 
-/// Rank of this instance among the hubs, if it is one, and the addresses of all hubs.
-fn pick_hubs<P: Protocol>(node: &Node<P>, members: &[Member]) -> (Option<usize>, Vec<SocketAddr>) {
-    let candidates: Vec<Candidate<'_>> = members
-        .iter()
-        .map(|member| Candidate {
-            name: &member.name,
-            domain: &member.row.domain,
-            has_fast_link: member.has_fast_link(),
-        })
-        .collect();
-    let picked = hub::pick(&candidates);
-    let rank = picked
-        .iter()
-        .position(|&index| *members[index].name == *node.config.name);
-    let addresses = picked.iter().map(|&index| members[index].row.exchange);
-    (rank, addresses.collect())
-}
-
 /// Exchanges datagrams until the task is aborted.
 pub async fn run<P: Protocol>(node: Arc<Node<P>>) {
     tokio::join!(receive(&node), announce(&node));
@@ -409,12 +388,17 @@
         let members = node.members.live(now);
         let (rank, hubs) = pick_hubs(node, &members);
         node.set_hub_rank(rank);
+        let was_reader = node.exchange.reader_rank().is_some();
+        roles::update_reader(node, &members, rank, now);
+        let is_reader = node.exchange.reader_rank().is_some();
         let is_full = intervals.is_multiple_of(DIGESTS_PER_HEARTBEAT);
         if is_full {
             send_heartbeat(node, &hubs, now).await;
         }
         intervals = intervals.wrapping_add(1);
-        if rank.is_some() {
+        // One that has just become a reader has not read the table yet.
+        if rank.is_some() || is_reader && was_reader {
+            let is_full = is_full && rank.is_some();
             send_all(node, &Message::Digest(digest(node, now, is_full))).await;
         }
         bulkhead::announce(node).await;
@@ -477,10 +461,10 @@
     }
 }
 
-/// Sends the changes of a feed since revision `base` to all other instances, if this instance is
-/// the first of the hubs. The other hubs only state the positions of their mirrors in digests.
+/// Sends the changes of a feed since revision `base` to all other instances, if this instance is the
+/// first reader of the table. The other readers only state the positions of their mirrors in digests.
 pub async fn push<P: Protocol>(node: &Node<P>, feed: Feed, base: Revision) {
-    if node.hub_rank() != Some(0) {
+    if node.exchange.reader_rank() != Some(0) {
         return;
     }
     let push = Message::Push(Push {
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -156,7 +156,7 @@
 /// Whether this instance, which has been ready to rely on hubs since `ready_at`, leaves a feed to them.
 fn relies_on_hubs<P: Protocol>(node: &Node<P>, feed: Feed, ready_at: Option<Duration>) -> bool {
     let now = clock::now();
-    if node.hub_rank().is_some() {
+    if node.exchange.reader_rank().is_some() {
         return false;
     }
     // Without the rows of other instances, no hub is heard.
@@ -165,7 +165,7 @@
         || may_hear && ready_at.is_some_and(|at| hub::may_hear_soon(now.saturating_sub(at)))
 }
 
-/// Waits while hubs pass on the changes, unless this instance is a hub itself.
+/// Waits while hubs pass on the changes, unless this instance reads the table for the others.
 async fn wait_until_uncovered<P: Protocol>(
     node: &Node<P>,
     prefix: &str,
@@ -187,7 +187,7 @@
         info,
         event::HUBS_SILENT,
         prefix = prefix,
-        hub = node.hub_rank(),
+        hub = node.exchange.reader_rank(),
         lag_ms = node.exchange.lag(clock::now()).map(whole_millis),
     );
 }
@@ -412,7 +412,8 @@
 
 /// Exponential backoff with jitter, so that instances do not retry in step.
 fn retry_delay<P: Protocol>(node: &Node<P>, failures: u32) -> Duration {
-    let hears_hub = node.hub_rank().is_none() && node.exchange.hears_hub(clock::now());
+    let is_reader = node.exchange.reader_rank().is_some();
+    let hears_hub = !is_reader && node.exchange.hears_hub(clock::now());
     let longest = hub::max_retry_delay(hears_hub, node.instance_count());
     let delay = FIRST_RETRY_DELAY
         .saturating_mul(1 << failures.min(8))
