An instance that the table turns away asks others for large changes

Seen: an instance that the table turns away keeps a superseded configuration for as long as that lasts, if the change is larger than what hubs answer with.

Cause: hubs answer with at most 128 KB, since those who need more can read the table; one that cannot had nobody else to ask. Class: a way out that needs the very thing that has failed.

Fix: after a call to the table that failed, an instance that knows of changes it lacks fetches those of operators' rows from any live instance, whatever their size. Asking any of them spreads the load.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -79,8 +79,8 @@
     tenths, //
 };
 
+pub use fetch::apply_delta;
 use fetch::{
-    apply_delta,
     fetch,
     mirror, //
 };
--- a/crates/router/src/exchange/fetch.rs
+++ b/crates/router/src/exchange/fetch.rs
@@ -28,7 +28,7 @@
 };
 
 /// Applies changes of one feed; `false` if earlier changes are missing.
-pub(super) fn apply_delta<P: Protocol>(node: &Node<P>, feed: Feed, delta: Delta) -> bool {
+pub fn apply_delta<P: Protocol>(node: &Node<P>, feed: Feed, delta: Delta) -> bool {
     let confirmed = node.exchange.confirmed();
     let base = mirror(node, feed).revision();
     let Some(changes) = mirror(node, feed).apply_delta(delta) else {
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -16,6 +16,7 @@
     http::Client,
     table::Change, //
 };
+use rand::seq::IndexedRandom;
 use state::clock;
 use telemetry::{
     emit,
@@ -24,8 +25,15 @@
 use tokio::net::TcpStream;
 
 use crate::{
-    message::Deltas,
-    mirror::State,
+    exchange,
+    message::{
+        Deltas,
+        Feed, //
+    },
+    mirror::{
+        Delta,
+        State, //
+    },
     node::Node,
     protocol::Protocol, //
 };
@@ -45,6 +53,10 @@
 /// the table instead.
 pub const MAX_DELTAS_BYTES: usize = 128 << 10;
 
+/// Path that returns the changes of operators' rows that the requesting instance is missing, however
+/// large they are. Its revision follows after a slash, as for [`CHANGES_PATH`].
+pub const OPERATOR_CHANGES_PATH: &str = "/v1/operator-changes";
+
 /// Path that returns the rows of operators that are in force at an instance and that the table may
 /// lack. The era in which the requesting instance has read the table follows after a slash.
 pub const IN_FORCE_PATH: &str = "/v1/in-force";
@@ -55,6 +67,9 @@
 const ROUND_DELAY: Duration = Duration::from_millis(500);
 /// Time for which an instance that starts waits for the rows that are in force at its peers.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a request for [`OPERATOR_CHANGES_PATH`]: time for megabytes over a link of ten megabits a
+/// second.
+const OPERATOR_CHANGES_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of one request to a peer.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -138,6 +153,42 @@
     Ok(postcard::from_bytes(&response.await?.body)?)
 }
 
+/// Fetches and applies the changes of operators' rows that this instance is missing from another one,
+/// for an instance that the table gives no answer. Any instance is asked, since those that pass changes on
+/// could not answer many at once if the changes are large.
+pub async fn fetch_operator_changes<P: Protocol>(node: &Node<P>) {
+    let mut others = node.members.live(clock::now());
+    others.retain(|member| *member.name != *node.config.name);
+    let Some(member) = others.choose(&mut rand::rng()) else {
+        return;
+    };
+    let address = member.row.peers;
+    let revision = node.mirrors.operator.revision();
+    let path = format!("{OPERATOR_CHANGES_PATH}/{revision}");
+    let client = Client::new(OPERATOR_CHANGES_TIMEOUT);
+    let fetched = async || -> anyhow::Result<Delta> {
+        let response = client.call(Method::GET, address, &path, Bytes::new());
+        Ok(postcard::from_bytes(&response.await?.body)?)
+    };
+    match fetched().await {
+        Ok(delta) => {
+            emit!(info, event::CHANGES_FETCHED, peer = %address, operator = delta.changes.len());
+            exchange::apply_delta(node, Feed::Operator, delta);
+        }
+        Err(reason) => emit!(warn, event::CHANGES_UNFETCHED, peer = %address, reason = %reason),
+    }
+}
+
+/// Response to a request for [`OPERATOR_CHANGES_PATH`]; `None` if `path` is another path or malformed.
+pub fn answer_operator_changes<P: Protocol>(node: &Node<P>, path: &str) -> Option<Bytes> {
+    let revision = path
+        .strip_prefix(OPERATOR_CHANGES_PATH)?
+        .strip_prefix('/')?;
+    let delta = node.mirrors.operator.since(revision.parse().ok()?);
+    // Encoding fails only if the delta does not fit into memory.
+    Some(Bytes::from(postcard::to_stdvec(&delta).unwrap_or_default()))
+}
+
 impl<P: Protocol> Node<P> {
     /// Records that the process of the instance with this address for datagrams does not run; `false`
     /// if no instance has the address.
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -257,6 +257,7 @@
         }
         let answer = peer::answer_in_force(&self.0, path)
             .or_else(|| peer::answer_changes(&self.0, path))
+            .or_else(|| peer::answer_operator_changes(&self.0, path))
             .or_else(|| origin::answer_records(&self.0, path));
         match answer {
             Some(changes) => Response::new(Body::full(changes)),
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -87,6 +87,8 @@
     returned: Notify,
     /// Notified by each answer about rows of operators.
     answered: Notify,
+    /// Notified by each failed call for rows of operators.
+    failed: Notify,
 }
 
 impl Availability {
@@ -140,6 +142,7 @@
         follow(&node, &table, &availability, instances),
         maintain_row(&node, &table),
         follow_versions(&node, &table, &availability),
+        follow_instances(&node, &availability),
         restore_first_seen(&node, &table),
         expire(&node),
     );
@@ -301,6 +304,7 @@
                 if is_operator {
                     let due_at = clock::now().min(sent_at + poll_timeout);
                     node.endpoints.record_table_failure(due_at);
+                    availability.failed.notify_one();
                 }
                 // While calls fail again and again, one feed finds out for all when they do not.
                 let delay = if is_operator || failures == 1 {
@@ -374,6 +378,17 @@
     }
 }
 
+/// Fetches changes of operators' rows from other instances, after calls to the table that failed while
+/// a hub has reported changes that this instance lacks, until the task is aborted.
+async fn follow_instances<P: Protocol>(node: &Node<P>, availability: &Availability) {
+    loop {
+        availability.failed.notified().await;
+        if node.exchange.lag(clock::now()).is_some() {
+            peer::fetch_operator_changes(node).await;
+        }
+    }
+}
+
 /// Writes the records again that a restored table lacks, or has with later times, until the task is
 /// aborted.
 async fn restore_first_seen<P: Protocol, W: Watch>(node: &Node<P>, table: &W) {
