Readers that do not see the table give way; a fetch that hangs holds up no other

- The readers were a prefix of twelve in order, those without the table included.
Rolling stops took the instances in it that see the table, and from 12.2 to 14.7 s all twelve were turned away.
Now a reader other than a hub gives way after 1.1 s without the table, for as long as the others remember its digest.
- One fetch at a time, with a timeout of 1 s: at 14.4 s 36 instances waited for an instance that was stopping (CHANGES_UNFETCHED after 1 s).
Now a fetch that has lasted 0.3 s does not keep an instance from fetching from another hub.

Class of the second: one that hangs holds up all others.

--- a/crates/policy/src/hub.rs
+++ b/crates/policy/src/hub.rs
@@ -11,15 +11,14 @@
 
 /// Number of instances that follow the table: one may be frozen while another restarts.
 pub const HUBS: usize = 3;
-/// Maximum number of readers of the table, those that do not see it included. In an outage, all of them
-/// send their digests to all instances.
-pub const MAX_READERS: usize = 4 * HUBS;
 /// Time without a message from a hub after which the hub counts as failed and an instance reads
 /// the table itself. Together with the duration of one read it is well below the time within which
 /// a configuration must be in force.
 const HUB_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum age of a hub's view of the table; longer than one long poll for changes.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(1_100);
+/// Time within which a fetch of changes from a hub usually ends; as long as the interval between digests.
+const FETCH_TIME: Duration = Duration::from_millis(300);
 /// Longest delay between calls to a table that gives no answer.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time for each instance, if others hear of the table's return for it.
@@ -75,27 +74,20 @@
 /// Rank of the candidate `own` among the readers, which read the table for all; `None` if it is none.
 ///
 /// The readers are the hubs and, in place of each that is known not to see the table, the next
-/// candidate in order, up to [`MAX_READERS`]. The rank is the number of readers before it that may see
-/// the table. Those that do not stay readers, so that they are the first to do so again.
+/// candidate in order that may see it. The rank is the number of readers before it that may see the
+/// table.
 pub fn reader_rank(
     candidates: &[Candidate<'_>],
     own: usize,
     is_stale: impl Fn(usize) -> bool,
 ) -> Option<usize> {
-    let wanted = pick(candidates).len();
-    let slow = order(candidates, false);
-    let readers = order(candidates, true).into_iter().chain(slow);
-    let mut rank = 0;
-    for index in readers.take(MAX_READERS) {
-        if rank == wanted {
-            return None;
-        }
-        if index == own {
-            return Some(rank);
-        }
-        rank += usize::from(!is_stale(index));
-    }
-    None
+    let hubs = pick(candidates);
+    let all = order(candidates, true).into_iter();
+    let all = all.chain(order(candidates, false));
+    let before = all.take_while(|&index| index != own);
+    let rank = before.filter(|&index| !is_stale(index)).count();
+    let may_read = hubs.contains(&own) || rank < hubs.len() && !is_stale(own);
+    may_read.then_some(rank)
 }
 
 /// The latest message from a hub.
@@ -114,6 +106,19 @@
     }
 }
 
+/// Whether an instance that has tried to read the table for `age` without success gives way to others.
+pub fn gives_way(age: Duration) -> bool {
+    age > MAX_VIEW_AGE
+}
+
+/// Whether to fetch the changes that the hub `from` has reported, besides the fetches in progress, given
+/// as hubs and the times since they began: one that hangs must not hold up those from other hubs.
+pub fn may_fetch<H: PartialEq>(from: &H, in_progress: &[(H, Duration)]) -> bool {
+    in_progress
+        .iter()
+        .all(|(hub, age)| hub != from && *age >= FETCH_TIME)
+}
+
 /// Whether any hub is alive and has a fresh view, so that an instance need not read the table.
 pub fn is_any_fresh(observations: &[Observation]) -> bool {
     observations.iter().any(Observation::is_fresh)
--- a/crates/policy/tests/hub.rs
+++ b/crates/policy/tests/hub.rs
@@ -5,10 +5,10 @@
 use policy::hub::{
     Candidate,
     HUBS,
-    MAX_READERS,
     Observation,
     is_any_fresh,
     max_retry_delay,
+    may_fetch,
     may_hear_soon,
     pick,
     reader_rank, //
@@ -119,13 +119,33 @@
     assert_eq!(readers(&candidates, &[7]).len(), 2);
 }
 
-/// Load: the table is away for all. The instances that send digests to all must not grow with the fleet.
+/// Load: the table turns many instances away, the first ones in order among them. Those that read it in
+/// their place are as many as hubs, however many of them are turned away as well.
 #[test]
-fn readers_of_a_table_that_nobody_sees_do_not_grow_with_the_fleet() {
-    let names: Vec<String> = (0..889).map(|n| format!("front-{n}")).collect();
+fn readers_do_not_grow_with_the_instances_that_do_not_see_the_table() {
+    let names: Vec<String> = (0..86).map(|n| format!("front-{n}")).collect();
     let candidates = candidates(&names);
+    let mut stale = pick(&candidates);
+    for _ in 0..20 {
+        let readers = readers(&candidates, &stale);
+        assert_eq!(readers.len(), 2 * HUBS);
+        stale.extend(readers.iter().map(|(_, index)| index));
+    }
     let all: Vec<usize> = (0..candidates.len()).collect();
-    assert_eq!(readers(&candidates, &all).len(), MAX_READERS);
+    assert_eq!(readers(&candidates, &all).len(), HUBS);
+}
+
+/// Guards against changes that are a second late at many instances, since each fetches them from a hub
+/// that hangs and from no other one.
+#[test]
+fn a_fetch_that_hangs_does_not_hold_up_those_from_other_hubs() {
+    let hanging = Duration::from_millis(300);
+    assert!(may_fetch(&"a", &[]));
+    assert!(!may_fetch(&"a", &[("a", hanging)]));
+    assert!(may_fetch(&"b", &[("a", hanging)]));
+    // Changes are not fetched from each hub at once.
+    assert!(!may_fetch(&"b", &[("a", Duration::from_millis(100))]));
+    assert!(!may_fetch(&"c", &[("a", hanging), ("b", Duration::ZERO)]));
 }
 
 /// Guards against instances that rely on hubs without a fresh view: the table refuses the hubs but
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -84,7 +84,10 @@
     fetch,
     mirror, //
 };
-use roles::pick_hubs;
+use roles::{
+    Reader,
+    pick_hubs, //
+};
 
 /// Interval between the digests of a hub.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -133,10 +136,12 @@
     confirmed: Option<Duration>,
     /// Local time up to which they were complete before the last restore of the table.
     complete_until: Option<Duration>,
-    /// Rank of this instance among the readers of the table, if it is one.
-    reader_rank: Option<usize>,
-    /// Whether a fetch from a hub is in progress.
-    is_fetching: bool,
+    /// What this instance does as a reader of the table, if it is one.
+    reader: Option<Reader>,
+    /// Time at which it last did not see the table as a reader.
+    gave_way_at: Option<Duration>,
+    /// Fetches from hubs that are in progress: address of the hub, and start.
+    fetches: Vec<(SocketAddr, Duration)>,
     /// Positions of a hub that this instance has not reached, and when it was told of them.
     unreached: Option<(Positions, Duration)>,
     /// Queries to other instances that have no answer yet, by id.
--- a/crates/router/src/exchange/fetch.rs
+++ b/crates/router/src/exchange/fetch.rs
@@ -6,6 +6,7 @@
 };
 
 use platform::http::Client;
+use policy::hub::may_fetch;
 use state::clock;
 use telemetry::{
     emit,
@@ -58,20 +59,39 @@
     }
 }
 
-/// Starts to fetch the missing changes from the hub at this address, unless a fetch is in progress.
+/// A fetch in progress.
+struct Fetch<P> {
+    node: Arc<Node<P>>,
+    from: SocketAddr,
+}
+
+impl<P> Drop for Fetch<P> {
+    fn drop(&mut self) {
+        let mut state = self.node.exchange.state.lock();
+        state.fetches.retain(|(from, _)| *from != self.from);
+    }
+}
+
+/// Starts to fetch the missing changes from the hub at this address, unless a fetch from it is in
+/// progress, or one from another hub that may be about to end.
 pub(super) fn fetch<P: Protocol>(node: &Arc<Node<P>>, from: SocketAddr) {
+    let now = clock::now();
     let mut state = node.exchange.state.lock();
-    if state.is_fetching {
+    let in_progress = state.fetches.iter();
+    let in_progress = in_progress.map(|(hub, start)| (*hub, now.saturating_sub(*start)));
+    if !may_fetch(&from, &in_progress.collect::<Vec<_>>()) {
         return;
     }
-    state.is_fetching = true;
+    state.fetches.push((from, now));
     drop(state);
-    let node = node.clone();
+    let fetch = Fetch {
+        node: node.clone(),
+        from,
+    };
     tokio::spawn(async move {
-        if let Some(address) = node.members.peer_plane(from.ip()) {
-            fetch_deltas(&node, address).await;
+        if let Some(address) = fetch.node.members.peer_plane(from.ip()) {
+            fetch_deltas(&fetch.node, address).await;
         }
-        node.exchange.state.lock().is_fetching = false;
     });
 }
 
