Readers of the table are those known to see it, then those of which nothing is known

Instances that see the table became readers at 12.8 s and gave way at 13.1 and 13.4 s to others of which nothing was known: some had just restarted and sent no digest for 1.5 s, others were turned away again as soon as their digests were forgotten.

Fix: a reader with a fresh view stays until as many before it have one.

Test: readers_with_a_fresh_view_stay_until_others_have_one, of a new function.

--- a/crates/policy/src/hub.rs
+++ b/crates/policy/src/hub.rs
@@ -71,23 +71,56 @@
     selected
 }
 
-/// Rank of the candidate `own` among the readers, which read the table for all; `None` if it is none.
+/// What is known of a candidate's view of the table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum View {
+    /// It has told of a fresh view.
+    Fresh,
+    /// It has not told of its view.
+    Unknown,
+    /// It has told that it does not see the table, or is silent although it should tell.
+    Stale,
+}
+
+/// An instance that reads the table for the others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reader {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Number of readers with a fresh view before it.
+    pub rank: usize,
+}
+
+/// Selects the instances that read the table for the others: the hubs and, as long as fewer than those
+/// have a fresh view, the next candidates in order of whose view nothing is known.
 ///
-/// The readers are the hubs and, in place of each that is known not to see the table, the next
-/// candidate in order that may see it. The rank is the number of readers before it that may see the
-/// table.
-pub fn reader_rank(
-    candidates: &[Candidate<'_>],
-    own: usize,
-    is_stale: impl Fn(usize) -> bool,
-) -> Option<usize> {
+/// Hubs stay readers whatever their view is. Of the others, those with a fresh view stay until as many
+/// before them have one.
+pub fn readers(candidates: &[Candidate<'_>], view: impl Fn(usize) -> View) -> Vec<Reader> {
     let hubs = pick(candidates);
-    let all = order(candidates, true).into_iter();
-    let all = all.chain(order(candidates, false));
-    let before = all.take_while(|&index| index != own);
-    let rank = before.filter(|&index| !is_stale(index)).count();
-    let may_read = hubs.contains(&own) || rank < hubs.len() && !is_stale(own);
-    may_read.then_some(rank)
+    let mut order = order(candidates, true);
+    order.extend(self::order(candidates, false));
+    let fresh = order.iter().filter(|&&index| view(index) == View::Fresh);
+    let mut lacking = hubs.len().saturating_sub(fresh.count());
+    let mut rank = 0;
+    let mut readers = Vec::new();
+    for index in order {
+        let view = view(index);
+        let is_wanted = match view {
+            View::Fresh => rank < hubs.len(),
+            View::Unknown => lacking > 0,
+            View::Stale => false,
+        };
+        if is_wanted || hubs.contains(&index) {
+            readers.push(Reader { index, rank });
+        }
+        match view {
+            View::Fresh => rank += 1,
+            View::Unknown => lacking = lacking.saturating_sub(1),
+            View::Stale => {}
+        }
+    }
+    readers
 }
 
 /// The latest message from a hub.
@@ -106,7 +139,7 @@
     }
 }
 
-/// Whether an instance that has tried to read the table for `age` without success gives way to others.
+/// Whether a reader that has not shown a fresh view for `age` gives way to others.
 pub fn gives_way(age: Duration) -> bool {
     age > MAX_VIEW_AGE
 }
--- a/crates/policy/tests/hub.rs
+++ b/crates/policy/tests/hub.rs
@@ -6,12 +6,14 @@
     Candidate,
     HUBS,
     Observation,
+    Reader,
+    View,
     is_any_fresh,
     max_retry_delay,
     may_fetch,
     may_hear_soon,
     pick,
-    reader_rank, //
+    readers, //
 };
 use quickcheck::quickcheck;
 
@@ -74,14 +76,17 @@
     }
 }
 
-/// Readers of the table with their ranks, sorted by rank and then by index.
-fn readers(candidates: &[Candidate<'_>], stale: &[usize]) -> Vec<(usize, usize)> {
-    let is_stale = |index: usize| stale.contains(&index);
-    let mut readers: Vec<(usize, usize)> = (0..candidates.len())
-        .filter_map(|own| Some((reader_rank(candidates, own, is_stale)?, own)))
-        .collect();
-    readers.sort_unstable();
-    readers
+fn indexes(readers: &[Reader]) -> Vec<usize> {
+    readers.iter().map(|reader| reader.index).collect()
+}
+
+/// Readers while these candidates have a fresh view and these a stale one.
+fn readers_with(candidates: &[Candidate<'_>], fresh: &[usize], stale: &[usize]) -> Vec<Reader> {
+    readers(candidates, |index| match index {
+        _ if stale.contains(&index) => View::Stale,
+        _ if fresh.contains(&index) => View::Fresh,
+        _ => View::Unknown,
+    })
 }
 
 /// Guards against a fleet in which nobody passes on what changes, since the table turns all hubs away.
@@ -90,21 +95,45 @@
     let names: Vec<String> = (0..86).map(|n| format!("front-{n}")).collect();
     let candidates = candidates(&names);
     let hubs = pick(&candidates);
-    let ranked: Vec<(usize, usize)> = hubs.iter().copied().enumerate().collect();
-    assert_eq!(readers(&candidates, &[]), ranked);
-    for stale in 1..=HUBS {
-        let stale = &hubs[..stale];
-        let all = readers(&candidates, stale);
-        let fresh = all.iter().filter(|(_, index)| !stale.contains(index));
-        let ranks: Vec<usize> = fresh.map(|(rank, _)| *rank).collect();
-        assert_eq!(ranks, [0, 1, 2]);
-        // They are the first to see the table again.
-        assert!(
-            stale
-                .iter()
-                .all(|hub| all.iter().any(|(_, index)| index == hub))
-        );
+    assert_eq!(indexes(&readers_with(&candidates, &[], &[])), hubs);
+    assert_eq!(indexes(&readers_with(&candidates, &hubs, &[])), hubs);
+    for count in 1..=HUBS {
+        let (stale, fresh) = hubs.split_at(count);
+        let all = readers_with(&candidates, fresh, stale);
+        assert_eq!(all.len(), HUBS + count);
+        // Hubs are the first to see the table again.
+        assert!(hubs.iter().all(|hub| indexes(&all).contains(hub)));
+        // Once the others see the table, one of them is the first of all.
+        let mut fresh = indexes(&all);
+        fresh.retain(|index| !stale.contains(index));
+        let all = readers_with(&candidates, &fresh, stale);
+        assert_eq!(all.len(), HUBS + count);
+        let first = all.iter().find(|reader| !stale.contains(&reader.index));
+        assert_eq!(first.map(|reader| reader.rank), Some(0));
     }
+    // They stop when the hubs see the table again.
+    let mut fresh = hubs.clone();
+    fresh.extend((0..86).filter(|index| !hubs.contains(index)).take(HUBS));
+    assert_eq!(indexes(&readers_with(&candidates, &fresh, &[])), hubs);
+}
+
+/// Guards against readers that see the table and give way to instances of which nothing is known, such as
+/// those that have just restarted, while the hubs do not see it.
+#[test]
+fn readers_with_a_fresh_view_stay_until_others_have_one() {
+    let names: Vec<String> = (0..86).map(|n| format!("front-{n}")).collect();
+    let candidates = candidates(&names);
+    let hubs = pick(&candidates);
+    let next = indexes(&readers_with(&candidates, &[], &hubs));
+    let next: Vec<usize> = next.into_iter().filter(|i| !hubs.contains(i)).collect();
+    let mut stale = [&hubs[..], &next[..]].concat();
+    let later = indexes(&readers_with(&candidates, &[], &stale));
+    let later: Vec<usize> = later.into_iter().filter(|i| !hubs.contains(i)).collect();
+    // The views of those that gave way are forgotten.
+    stale.truncate(HUBS);
+    let mut all = indexes(&readers_with(&candidates, &later, &stale));
+    all.retain(|index| !hubs.contains(index));
+    assert_eq!(all, later);
 }
 
 /// Guards against a fleet that has fewer fast links than hubs and reads the table over slow ones.
@@ -115,24 +144,24 @@
     for (index, candidate) in candidates.iter_mut().enumerate() {
         candidate.has_fast_link = index == 7;
     }
-    assert_eq!(readers(&candidates, &[]), [(0, 7)]);
-    assert_eq!(readers(&candidates, &[7]).len(), 2);
+    assert_eq!(indexes(&readers_with(&candidates, &[], &[])), [7]);
+    assert_eq!(readers_with(&candidates, &[], &[7]).len(), 2);
 }
 
 /// Load: the table turns many instances away, the first ones in order among them. Those that read it in
 /// their place are as many as hubs, however many of them are turned away as well.
 #[test]
 fn readers_do_not_grow_with_the_instances_that_do_not_see_the_table() {
-    let names: Vec<String> = (0..86).map(|n| format!("front-{n}")).collect();
+    let names: Vec<String> = (0..889).map(|n| format!("front-{n}")).collect();
     let candidates = candidates(&names);
     let mut stale = pick(&candidates);
-    for _ in 0..20 {
-        let readers = readers(&candidates, &stale);
+    for _ in 0..40 {
+        let readers = readers_with(&candidates, &[], &stale);
         assert_eq!(readers.len(), 2 * HUBS);
-        stale.extend(readers.iter().map(|(_, index)| index));
+        stale.extend(indexes(&readers));
     }
     let all: Vec<usize> = (0..candidates.len()).collect();
-    assert_eq!(readers(&candidates, &all).len(), HUBS);
+    assert_eq!(readers_with(&candidates, &[], &all).len(), HUBS);
 }
 
 /// Guards against changes that are a second late at many instances, since each fetches them from a hub
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -85,7 +85,7 @@
     mirror, //
 };
 use roles::{
-    Reader,
+    Duties,
     pick_hubs, //
 };
 
@@ -136,10 +136,8 @@
     confirmed: Option<Duration>,
     /// Local time up to which they were complete before the last restore of the table.
     complete_until: Option<Duration>,
-    /// What this instance does as a reader of the table, if it is one.
-    reader: Option<Reader>,
-    /// Time at which it last did not see the table as a reader.
-    gave_way_at: Option<Duration>,
+    /// Who reads the table.
+    duties: Duties,
     /// Fetches from hubs that are in progress: address of the hub, and start.
     fetches: Vec<(SocketAddr, Duration)>,
     /// Positions of a hub that this instance has not reached, and when it was told of them.
@@ -394,7 +392,7 @@
         let (rank, hubs) = pick_hubs(node, &members);
         node.set_hub_rank(rank);
         let was_reader = node.exchange.reader_rank().is_some();
-        roles::update_reader(node, &members, rank, now);
+        roles::update_reader(node, &members, now);
         let is_reader = node.exchange.reader_rank().is_some();
         let is_full = intervals.is_multiple_of(DIGESTS_PER_HEARTBEAT);
         if is_full {
