Large answers share memory by size, so that those that do not end hold up no other

Seen: an endpoint sends the first part of large answers and no end. Every answer over 64 KiB of all other endpoints waits until the deadlines of the first ones.

Class: a share of a common resource that is held by claim and not by use.

Fix: answers hold what they have received of 16 MiB; while that is used up, two may grow to their limit of 8 MiB without it. In sum as much as before.

--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -48,15 +48,61 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Size up to which answers are collected without regard to others, in bytes.
 const SMALL_ANSWER_BYTES: usize = 64 << 10;
-/// Maximum number of larger answers that are collected at the same time.
-const MAX_LARGE_ANSWERS: usize = 4;
+/// Memory that larger answers share, in KiB.
+const SHARED_KIB: usize = 16 << 10;
+/// Number of answers that may grow to their limit while the shared memory is used up.
+const MAX_GROWING_ANSWERS: usize = 2;
 
 /// Idle connections by endpoint address.
 #[derive(Debug)]
 pub struct Pool {
     idle: Mutex<Table>,
     id_header: HeaderName,
-    large_answers: Semaphore,
+    memory: Memory,
+}
+
+/// Memory of answers beyond [`SMALL_ANSWER_BYTES`].
+#[derive(Debug)]
+struct Memory {
+    /// One permit for each KiB. An answer holds as many as it has received, so that one that arrives
+    /// slowly leaves the rest to others.
+    shared: Semaphore,
+    /// One permit for each answer that needs none of the shared memory, so that some answers go on
+    /// when it is used up.
+    growing: Semaphore,
+}
+
+/// Memory that one answer holds.
+#[derive(Debug, Default)]
+struct Hold<'a> {
+    shared: Option<SemaphorePermit<'a>>,
+    growing: Option<SemaphorePermit<'a>>,
+}
+
+impl<'a> Hold<'a> {
+    /// Waits until there is memory for an answer of which `length` bytes have arrived.
+    async fn extend(&mut self, memory: &'a Memory, length: usize) {
+        let kib = length.saturating_sub(SMALL_ANSWER_BYTES).div_ceil(1 << 10);
+        let held = self.shared.as_ref().map_or(0, SemaphorePermit::num_permits);
+        let lacking = kib.saturating_sub(held);
+        if self.growing.is_some() || lacking == 0 {
+            return;
+        }
+        let lacking = u32::try_from(lacking).unwrap_or(u32::MAX);
+        // Acquiring fails only if a semaphore is closed, which neither ever is.
+        tokio::select! {
+            biased;
+            Ok(permit) = memory.shared.acquire_many(lacking) => match &mut self.shared {
+                Some(shared) => shared.merge(permit),
+                None => self.shared = Some(permit),
+            },
+            Ok(permit) = memory.growing.acquire() => {
+                self.growing = Some(permit);
+                self.shared = None;
+            }
+            else => {}
+        }
+    }
 }
 
 impl Default for Pool {
@@ -196,16 +242,16 @@
             verdict: Verdict::MayHaveRun,
             fault,
         };
-        let large_answers = &self.lease.pool.large_answers;
+        let memory = &self.lease.pool.memory;
         let collected = async {
             let mut collector = Collector::new(self.body, limit_bytes);
             let begun = tokio::select! {
                 begun = collector.next() => begun.map_err(broken).map_err(failed)?,
                 failure = expired => return Err(failure),
             };
-            let mut permit = None;
+            let mut hold = Hold::default();
             if begun.is_some() {
-                let rest = collect_rest(&mut collector, large_answers, &mut permit);
+                let rest = collect_rest(&mut collector, memory, &mut hold);
                 rest.await.map_err(failed)?;
             }
             Ok(collector.join())
@@ -221,17 +267,14 @@
     Fault::Truncated(fault.to_string())
 }
 
-/// Reads the rest of a body; beyond [`SMALL_ANSWER_BYTES`] only with a permit.
+/// Reads the rest of a body, as there is memory for it.
 async fn collect_rest<'a>(
     collector: &mut Collector<Incoming>,
-    large_answers: &'a Semaphore,
-    permit: &mut Option<SemaphorePermit<'a>>,
+    memory: &'a Memory,
+    hold: &mut Hold<'a>,
 ) -> Result<(), Fault> {
     while let Some(length) = collector.next().await.map_err(broken)? {
-        if permit.is_none() && length > SMALL_ANSWER_BYTES {
-            // Fails only if the semaphore is closed, which it never is.
-            *permit = large_answers.acquire().await.ok();
-        }
+        hold.extend(memory, length).await;
     }
     Ok(())
 }
@@ -242,7 +285,10 @@
         Self {
             idle: Mutex::default(),
             id_header,
-            large_answers: Semaphore::new(MAX_LARGE_ANSWERS),
+            memory: Memory {
+                shared: Semaphore::new(SHARED_KIB),
+                growing: Semaphore::new(MAX_GROWING_ANSWERS),
+            },
         }
     }
 
