--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -48,7 +48,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Size up to which answers are collected without regard to others, in bytes.
 const SMALL_ANSWER_BYTES: usize = 64 << 10;
-/// Memory that larger answers share, in KiB.
+/// Memory that larger answers share, in KiB; more than the limit of any of them.
 const SHARED_KIB: usize = 16 << 10;
 /// Number of answers that may grow to their limit while the shared memory is used up.
 const MAX_GROWING_ANSWERS: usize = 2;
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -3,8 +3,8 @@
 //!
 //! Each instance sends heartbeats to the hubs. Each hub sends all other instances
 //! a digest of the heartbeats that it received and of the positions of its
-//! mirrors of the table, as does each instance that reads the table in its place. Changes that were lost in transit are fetched over a
-//! connection.
+//! mirrors of the table, as does each instance that reads the table in place of a
+//! hub. Changes that were lost in transit are fetched over a connection.
 
 mod fetch;
 mod freshness;
@@ -57,6 +57,7 @@
     quarantine,
     quota, //
 };
+pub use fetch::apply_delta;
 pub use outage::{
     judge_outage,
     record_table_answer, //
@@ -79,7 +80,6 @@
     tenths, //
 };
 
-pub use fetch::apply_delta;
 use fetch::{
     fetch,
     mirror, //
