review: bursts of large bodies exceed the memory (FAULT)

Order of events: 20 consumers an instance send bodies of maxBodyBytes, one at a time; six times for 3 s there are 1.7 times as many.

--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -4,7 +4,7 @@
     fs::{self, File},
     io::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
@@ -231,7 +231,7 @@
 }
 
 /// Prepares instances with settings as the deploy file's template renders them.
-pub fn instances(count: u8, store: SocketAddr, zone: &str, folder: &PathBuf) -> Vec<Instance> {
+pub fn instances(count: u8, store: SocketAddr, zone: &str, folder: &Path) -> Vec<Instance> {
     fs::create_dir_all(folder).expect("temporary folder");
     let places: Vec<_> = (1..=count)
         .map(|number| (address(number), free_ports(address(number))))
--- a/review/standin/keys.rs
+++ b/review/standin/keys.rs
@@ -1,6 +1,6 @@
 //! The operator takes away all keys, one after the other.
 
-use std::{net::TcpListener, path::PathBuf, thread, time::Duration};
+use std::{net::TcpListener, thread, time::Duration};
 
 use crate::{
     deployment::{self, Instance, Record, Server},
@@ -109,7 +109,7 @@
     store: &Store,
     store_address: std::net::SocketAddr,
     servers: &[Server],
-    temporary: &PathBuf,
+    temporary: &std::path::Path,
 ) -> bool {
     let mut instances = deployment::instances(2, store_address, "seoul-a", temporary);
     instances.iter_mut().for_each(Instance::start);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod keys;
 mod store;
+mod uploads;
 
 fn main() {
     let mut args = std::env::args().skip(1);
@@ -16,6 +17,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let is_broken = match &*case {
         "keys" => keys::run(&folder, trouble),
+        "uploads" => uploads::run(&folder, trouble),
         other => deployment::stop(&format!("no case {other}")),
     };
     std::process::exit(i32::from(is_broken));
