review: cases that cannot run leave no process behind

A case that could not run ended its own process without those of the daemon. It unwinds now, which kills them.

--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -206,10 +206,9 @@
     }
 }
 
-/// Ends a case that cannot run.
+/// Ends a case that cannot run; instances are killed as they are dropped.
 pub fn stop(reason: &str) -> ! {
-    eprintln!("the case cannot run: {reason}");
-    std::process::exit(2);
+    panic!("the case cannot run: {reason}");
 }
 
 /// Loopback addresses that this process uses; the last byte counts machines.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,14 +11,16 @@
 
 fn main() {
     let mut args = std::env::args().skip(1);
-    let (Some(case), Some(folder)) = (args.next(), args.next()) else {
-        deployment::stop("usage: standin CASE FOLDER");
-    };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let is_broken = match &*case {
-        "keys" => keys::run(&folder, trouble),
-        "uploads" => uploads::run(&folder, trouble),
-        other => deployment::stop(&format!("no case {other}")),
+    let (case, folder) = (args.next(), args.next());
+    let run = || match (case.as_deref(), folder.as_deref()) {
+        (Some("keys"), Some(folder)) => keys::run(folder, trouble),
+        (Some("uploads"), Some(folder)) => uploads::run(folder, trouble),
+        _ => deployment::stop("usage: standin CASE FOLDER"),
+    };
+    let code = match std::panic::catch_unwind(run) {
+        Ok(is_broken) => i32::from(is_broken),
+        Err(_) => 2,
     };
-    std::process::exit(i32::from(is_broken));
+    std::process::exit(code);
 }
