Routes that are not public require a key also once no workspace has one

Callers saw: after the operator had withdrawn the keys of all workspaces, requests with an invented key, with a withdrawn one and with none ran on routes that are not public, for no workspace and without a limit.

Cause: Catalog::requires_keys was derived from the list of keys, so that a configuration whose workspaces have no keys was the same as one without workspaces. Ruled out: a stale configuration and the lookup of the key (endpoints got the requests with the withdrawn keys without a workspace, so these keys were known to be gone).

Change: the decoder tells the catalog whether the configuration has the field `tenants`, and routes require a key if it does. `null` is an error as before and does not count as absent.

--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -168,20 +168,23 @@
     services: Vec<Service>,
     /// Limits for the connections and requests of callers.
     pub limits: Limits,
-    /// Whether any workspace has a key; routes that are not open then require one.
+    /// Whether routes that are not open require a key, also while no key is in force.
     pub requires_keys: bool,
 }
 
 impl Catalog {
-    /// Sorts the entries; if two workspaces have the same key, the later one keeps it.
+    /// Sorts the entries; if two workspaces have the same key, the later one keeps it. `keys` is
+    /// `None` if the configuration has no workspaces, so that no route requires a key.
     pub fn new(
         version: u64,
         mut routes: Vec<Arc<Route>>,
-        mut keys: Vec<(Digest, Arc<Workspace>)>,
+        keys: Option<Vec<(Digest, Arc<Workspace>)>>,
         mut services: Vec<Service>,
         limits: Limits,
     ) -> Self {
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        let requires_keys = keys.is_some();
+        let mut keys = keys.unwrap_or_default();
         keys.reverse();
         keys.sort_by_key(|entry| entry.0);
         keys.dedup_by_key(|entry| entry.0);
@@ -189,7 +192,7 @@
         Self {
             version,
             routes,
-            requires_keys: !keys.is_empty(),
+            requires_keys,
             keys,
             services,
             limits,
