Only work that an engine does first stands before an urgent request

Callers saw: while long, less urgent prompts came in a burst, urgent short requests were refused for "so much work waits", though engines turn to them first.

Cause: the planner's queue of an engine was one sum, in the order of placement.

Change: the queue is kept in the order in which the engine turns to the requests, by rank and then by placement. What stands before a request is the work of the same rank or a more urgent one, and at most the piece of a less urgent prompt that the engine may be reading. Requests that were overtaken give no sample of the pace.

--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -36,23 +36,38 @@
     }
 }
 
+/// What an engine does for a request before its answer begins.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Priority rank; 0 is the most urgent. An engine turns to more urgent requests first.
+    pub rank: u8,
+    /// Blocks that it computes.
+    pub computed: f32,
+    /// Blocks that it fetches.
+    pub fetched: f32,
+}
+
+/// Largest number of blocks that an engine computes without interruption for a less urgent request:
+/// engines read long prompts in pieces, and turn to more urgent ones between two pieces.
+const MAX_PIECE_BLOCKS: f32 = 2.0;
+
 /// A request that was placed at an engine and whose answer has not begun.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Entry {
     ticket: u64,
-    /// Blocks that the engine computes for it.
-    computed: f32,
-    /// Blocks that the engine fetches for it.
-    fetched: f32,
+    work: Work,
     placed_at: Millis,
     /// Whether the engine was idle when the request was placed.
     was_idle: bool,
+    /// Whether the engine did no other work between the request's turn and its answer, so that the
+    /// time shows the engine's pace.
+    is_timed: bool,
 }
 
 impl Entry {
     /// Time that the engine takes for the request, besides the base.
     fn seconds(&self, pace: &Pace) -> f32 {
-        pace.block * self.computed + pace.fetch * self.fetched
+        pace.block * self.work.computed + pace.fetch * self.work.fetched
     }
 }
 
@@ -61,7 +76,7 @@
 pub struct Queue {
     /// # Invariants
     ///
-    /// In the order in which they were placed.
+    /// In the order in which the engine turns to them: by rank, then as they were placed.
     entries: Vec<Entry>,
     /// When the first entry reached the head of the queue.
     head_since: Millis,
@@ -69,30 +84,43 @@
 
 impl Queue {
     /// Adds a request that is placed at `now`.
-    pub fn push(&mut self, now: Millis, ticket: u64, computed: f32, fetched: f32) {
+    pub fn push(&mut self, now: Millis, ticket: u64, work: Work) {
         let was_idle = self.entries.is_empty();
-        if was_idle {
+        let index = self
+            .entries
+            .partition_point(|entry| entry.work.rank <= work.rank);
+        if index == 0 {
             self.head_since = now;
         }
-        self.entries.push(Entry {
+        let overtaken = &mut self.entries[index..];
+        let overtakes = !overtaken.is_empty();
+        for entry in overtaken {
+            entry.is_timed = false;
+        }
+        let entry = Entry {
             ticket,
-            computed: computed.max(0.0),
-            fetched: fetched.max(0.0),
+            work: Work {
+                computed: work.computed.max(0.0),
+                fetched: work.fetched.max(0.0),
+                ..work
+            },
             placed_at: now,
             was_idle,
-        });
+            is_timed: !overtakes,
+        };
+        self.entries.insert(index, entry);
     }
 
     /// Removes a request whose answer has begun; returns the time that the engine took for it,
-    /// unless it overtook another.
+    /// unless it overtook another or was overtaken.
     pub fn begin(&mut self, now: Millis, ticket: u64) -> Option<Sample> {
         let since = self.head_since;
         let (index, entry) = self.take(now, ticket)?;
-        (index == 0).then_some(Sample {
+        (index == 0 && entry.is_timed).then_some(Sample {
             seconds: now.saturating_sub(since) as f32 / 1_000.0,
             was_idle: entry.was_idle,
-            computed: entry.computed,
-            fetched: entry.fetched,
+            computed: entry.work.computed,
+            fetched: entry.work.fetched,
         })
     }
 
@@ -110,8 +138,10 @@
         Some((index, self.entries.remove(index)))
     }
 
-    /// Seconds of work that remain at `now` if the engine works at `pace`.
-    pub fn remaining(&mut self, now: Millis, pace: &Pace) -> f32 {
+    /// Seconds of work that the engine does from `now` on, at `pace`, before it turns to a new
+    /// request of this rank: all that is as urgent or more, and the piece of a less urgent prompt
+    /// that it may be computing.
+    pub fn remaining(&mut self, now: Millis, pace: &Pace, rank: u8) -> f32 {
         let max_age = MAX_REQUEST_AGE.as_millis() as Millis;
         let is_live = |entry: &Entry| now.saturating_sub(entry.placed_at) <= max_age;
         if !self.entries.iter().all(is_live) {
@@ -122,7 +152,18 @@
             return 0.0;
         };
         let elapsed = now.saturating_sub(self.head_since) as f32 / 1_000.0;
-        let total: f32 = self.entries.iter().map(|entry| entry.seconds(pace)).sum();
-        total - elapsed.min(head.seconds(pace))
+        let (ahead, behind) = self
+            .entries
+            .split_at(self.entries.partition_point(|e| e.work.rank <= rank));
+        let total: f32 = ahead.iter().map(|entry| entry.seconds(pace)).sum();
+        let done = elapsed.min(head.seconds(pace));
+        let piece = behind.first().map_or(0.0, |entry| {
+            entry.seconds(pace).min(MAX_PIECE_BLOCKS * pace.block)
+        });
+        if ahead.is_empty() {
+            piece
+        } else {
+            (total - done).max(piece)
+        }
     }
 }
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -2,7 +2,10 @@
 //! a change in the middle, queues, cached prompts, hung engines.
 
 use policy::{
-    backlog::Queue,
+    backlog::{
+        Queue,
+        Work, //
+    },
     pace::{
         Estimator,
         Pace,
@@ -153,7 +156,11 @@
         let count = 1 + round % 12;
         let blocks: Vec<f32> = (0..count).map(|_| 0.5 + 4.0 * random.next()).collect();
         for (ticket, blocks) in (0..).zip(&blocks) {
-            queue.push(now_ms, ticket, *blocks, 0.0);
+            let work = Work {
+                computed: *blocks,
+                ..Work::default()
+            };
+            queue.push(now_ms, ticket, work);
         }
         let mut seconds = pace.base;
         for (ticket, blocks) in (0..).zip(&blocks) {
--- a/crates/policy/tests/planner.rs
+++ b/crates/policy/tests/planner.rs
@@ -4,7 +4,10 @@
 #![expect(clippy::unwrap_used, reason = "a failed test may panic")]
 
 use policy::{
-    backlog::Queue,
+    backlog::{
+        Queue,
+        Work, //
+    },
     belief::{
         Holder,
         Millis,
@@ -140,7 +143,7 @@
                 holder: holder(index),
                 in_flight: 0,
                 local_backlog: 0.0,
-                remote_backlog: view.queues[index].remaining(now, &PACE) / BLOCK_SECONDS,
+                remote_backlog: view.queues[index].remaining(now, &PACE, 0) / BLOCK_SECONDS,
                 block_seconds: BLOCK_SECONDS,
                 eviction_age: view.inflows[index].eviction_age(now, CAPACITY),
                 delay_penalty: 0.0,
@@ -167,7 +170,12 @@
         engine.busy_until = start + blocks * BLOCK_SECONDS;
         outcome.waits.push(start - seconds);
         outcome.blocks += blocks;
-        view.queues[choice.index].push(now, number, choice.missed, choice.fetched);
+        let work = Work {
+            rank: 0,
+            computed: choice.missed,
+            fetched: choice.fetched,
+        };
+        view.queues[choice.index].push(now, number, work);
         view.inflows[choice.index].add(now, blocks * BLOCK_TOKENS as f32);
         for level in chain.hashes() {
             view.beliefs.insert(level, holder(choice.index), now);
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -409,7 +409,7 @@
                 in_flight.blocks_ahead(class) + in_flight.running() as f32 * RUNNING_REQUEST_BLOCKS
             },
             remote_backlog: if request.is_sole {
-                node.planner.queues.remaining(e.health.hash, &pace) / pace.block
+                node.planner.queues.remaining(e.health.hash, &pace, class) / pace.block
             } else {
                 0.0
             },
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -272,7 +272,7 @@
         return Plan::RetryAfter(queues.take_turn(query.service, delay, work));
     }
     let ticket = rand::random();
-    queues.push(decision.health.hash, ticket, &decision.reasons);
+    queues.push(decision.health.hash, ticket, query.class, &decision.reasons);
     let inflow_tokens = decision.inflow_blocks * BLOCK_TOKENS as f32;
     let now = node.beliefs.now();
     decision
--- a/crates/router/src/planner/queues.rs
+++ b/crates/router/src/planner/queues.rs
@@ -7,7 +7,10 @@
 
 use parking_lot::Mutex;
 use policy::{
-    backlog::Queue,
+    backlog::{
+        Queue,
+        Work, //
+    },
     belief::Millis,
     pace::{
         Estimator,
@@ -15,6 +18,7 @@
     },
     shed::Turns, //
 };
+use settings::Class;
 use state::{
     clock,
     sorted, //
@@ -45,9 +49,10 @@
 }
 
 impl Queues {
-    /// Time, in seconds, that the queue of the engine with this hash takes at `pace`.
-    pub fn remaining(&self, engine: u64, pace: &Pace) -> f32 {
-        self.with_queue(engine, |queue, now| queue.remaining(now, pace))
+    /// Time, in seconds, that the engine with this hash takes at `pace` before it turns to a new
+    /// request of this class.
+    pub fn remaining(&self, engine: u64, pace: &Pace, class: Class) -> f32 {
+        self.with_queue(engine, |queue, now| queue.remaining(now, pace, class as u8))
     }
 
     /// Pace of the engines of a service, as far as it is known here.
@@ -74,10 +79,13 @@
         });
     }
 
-    pub(super) fn push(&self, engine: u64, ticket: u64, reasons: &Reasons) {
-        self.with_queue(engine, |queue, now| {
-            queue.push(now, ticket, reasons.missed, reasons.fetched);
-        });
+    pub(super) fn push(&self, engine: u64, ticket: u64, class: Class, reasons: &Reasons) {
+        let work = Work {
+            rank: class as u8,
+            computed: reasons.missed,
+            fetched: reasons.fetched,
+        };
+        self.with_queue(engine, |queue, now| queue.push(now, ticket, work));
     }
 
     /// Removes a request of `service` that has begun, and learns the pace from it.
