Engines that reject for want of room are paused for all instances

Cause: a rejected request leaves the planner's queue at once, so that an engine that rejects all looks idle and draws the requests of all instances. Engines do so while they carry out an order that nobody knows of, because its answer was lost: one of them rejected 645 requests within a second.

Change: a rejection pauses the engine, for longer with each further one (0.1 to 0.8 s), and then one request a pause is sent until one is taken. Requests that were on their way when the pause began do not count. A failure to connect is told to the planner as abandoned, since it says nothing of the engine's room. Plain services are not paused.

--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -124,6 +124,12 @@
         })
     }
 
+    /// When a request was placed; `None` if it is not in the queue.
+    pub fn placed_at(&self, ticket: u64) -> Option<Millis> {
+        let entry = self.entries.iter().find(|e| e.ticket == ticket);
+        entry.map(|entry| entry.placed_at)
+    }
+
     /// Removes a request that has ended without an answer.
     pub fn remove(&mut self, now: Millis, ticket: u64) {
         // It may have begun before.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prefix;
 pub mod quarantine;
 pub mod rank;
+pub mod rejection;
 pub mod rest;
 pub mod retry;
 pub mod retry_share;
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -9,6 +9,7 @@
     bulkhead::Brittle,
     inflow::Inflow,
     limit::Limit,
+    rejection::Rejections,
     rest::Rest, //
 };
 
@@ -62,6 +63,8 @@
     pub path: Breaker,
     /// Rest for which the endpoint has asked.
     pub rest: Rest,
+    /// Rejections for want of room.
+    pub rejections: Rejections,
     /// Limit that the endpoint has stated.
     pub limit: Limit,
     /// Whether the endpoint has stated that it is brittle.
@@ -80,6 +83,7 @@
             breaker: Breaker::default(),
             path: Breaker::default(),
             rest: Rest::default(),
+            rejections: Rejections::default(),
             limit: Limit::default(),
             brittle: Brittle::default(),
         }
@@ -90,6 +94,7 @@
     /// Forgets what an incarnation has stated about itself.
     pub fn forget_statements(&mut self) {
         self.rest = Rest::default();
+        self.rejections = Rejections::default();
         self.limit = Limit::default();
         self.brittle = Brittle::default();
     }
@@ -100,6 +105,7 @@
         let rest = self.rest.remaining(now);
         rest.max(self.limit.remaining(urgent, now))
             .max(self.brittle.remaining(now))
+            .max(self.rejections.remaining(now))
     }
 
     /// Records a response whose first token arrived `seconds` after the request was sent, which
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -193,6 +193,7 @@
         estimate.breaker.record_sent(now);
         estimate.path.record_sent(now);
         estimate.rest.record_sent(now);
+        estimate.rejections.record_sent(now);
     });
     let levels = query.chain.hashes();
     node.beliefs.raise(&levels, holder);
@@ -296,8 +297,11 @@
         let service = &self.endpoint.registration.service;
         let delay = clock::now().saturating_sub(self.sent_at);
         node.observed.record_start(service, class, delay);
-        self.health
-            .update_estimate(|estimate| estimate.breaker.record_success());
+        let sent_at = node.beliefs.now().saturating_sub(millis(delay));
+        self.health.update_estimate(|estimate| {
+            estimate.breaker.record_success();
+            estimate.rejections.record_success(sent_at);
+        });
         self.record_connection(node);
         self.guard.record_first_token();
         self.report_outcome(End::Began);
@@ -329,6 +333,13 @@
 
     /// Records that the endpoint had no room for the request.
     pub fn record_full<P: Protocol>(&self, node: &Node<P>) {
+        if self.version > 0 {
+            let now = node.beliefs.now();
+            let age = clock::now().saturating_sub(self.sent_at);
+            let sent_at = now.saturating_sub(millis(age));
+            self.health
+                .update_estimate(|estimate| estimate.rejections.record(now, sent_at));
+        }
         if let Some(permit) = &self.permit {
             permit.record_rejection(node);
         }
--- a/crates/router/src/choose/reach.rs
+++ b/crates/router/src/choose/reach.rs
@@ -103,7 +103,7 @@
             self.record_failure(node);
         } else {
             node.beliefs.lower(&self.levels, self.holder);
-            self.report_outcome(End::Rejected);
+            self.report_outcome(End::Abandoned);
         }
     }
 }
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -69,7 +69,8 @@
         ResumptionRequest, //
     },
     node::Node,
-    protocol::Protocol, //
+    protocol::Protocol,
+    stream::millis, //
 };
 
 pub use queues::Queues;
@@ -449,9 +450,10 @@
         Plan::None => return Some(response_to(Destination::None)),
     };
     let now = node.beliefs.now();
-    decision
-        .health
-        .update_estimate(|estimate| estimate.breaker.record_sent(now));
+    decision.health.update_estimate(|estimate| {
+        estimate.breaker.record_sent(now);
+        estimate.rejections.record_sent(now);
+    });
     node.beliefs.raise(&chain.hashes(), decision.holder);
     Some(PlacementResponse {
         ticket,
@@ -471,16 +473,23 @@
     };
     let queues = &node.planner.queues;
     let service = outcome.service.as_str().into();
+    let now = node.beliefs.now();
+    let age = queues.age(health.hash, outcome.ticket);
+    let sent_at = age.map_or(now, |age| now.saturating_sub(millis(age)));
     match outcome.end {
         End::Began => queues.begin(health.hash, &service, outcome.ticket),
         _ => queues.remove(health.hash, outcome.ticket),
     }
     let (_, holder) = health.incarnation();
     node.beliefs.lower(&outcome.levels, holder);
-    let now = node.beliefs.now();
-    match outcome.end {
-        End::Began => health.update_estimate(|estimate| estimate.breaker.record_success()),
-        End::Failed => health.update_estimate(|estimate| estimate.breaker.record_failure(now)),
+    health.update_estimate(|estimate| match outcome.end {
+        End::Began => {
+            estimate.breaker.record_success();
+            estimate.rejections.record_success(sent_at);
+        }
+        End::Failed => estimate.breaker.record_failure(now),
+        // A request that is not in the queue any more was placed by another planner, or long ago.
+        End::Rejected if age.is_some() => estimate.rejections.record(now, sent_at),
         End::Rejected | End::Abandoned => {}
-    }
+    });
 }
--- a/crates/router/src/planner/queues.rs
+++ b/crates/router/src/planner/queues.rs
@@ -96,6 +96,13 @@
         }
     }
 
+    /// Time since a request was placed; `None` if it is not in the engine's queue.
+    pub(super) fn age(&self, engine: u64, ticket: u64) -> Option<Duration> {
+        let age =
+            |queue: &mut Queue, now: Millis| Some(now.saturating_sub(queue.placed_at(ticket)?));
+        self.with_queue(engine, age).map(Duration::from_millis)
+    }
+
     pub(super) fn remove(&self, engine: u64, ticket: u64) {
         self.with_queue(engine, |queue, now| queue.remove(now, ticket));
     }
