Planner: the speed of each engine counts in the choice

Cause: engines of one service were all taken to run at its pace, so that one that takes 1.6 times as long got as much work as a fast one. Idle engines cost the same, and the first of the list got the work.

Change: policy::speed learns a factor for each engine on the pace of its service from the times at which its answers begin (shrunk towards 1 for few samples, from 0.25 to 4, back to 1 within seconds without samples). The planner counts an engine's queue and the request's own work at the engine's pace, adds a delay of at most 0.3 s while the first request of its queue is far later than expected, and decides between engines that are alike by the work placed there lately. Reasons.wait stays in blocks of the service's pace.

Scaling the whole queue by a late head's lateness was tried and made more late starts; so did a shorter memory of 3 samples.

--- a/crates/damaskd/src/caller/choose.rs
+++ b/crates/damaskd/src/caller/choose.rs
@@ -215,6 +215,7 @@
             local_backlog: health.in_flight.blocks_ahead(class),
             remote_backlog: view.estimate.reported_blocks(request.now),
             block_seconds: view.estimate.block_seconds,
+            recent_seconds: 0.0,
             eviction_age: view.estimate.eviction_age,
             version_penalty: if view.version_mismatch {
                 VERSION_PENALTY_BLOCKS
--- a/crates/policy/benches/choice.rs
+++ b/crates/policy/benches/choice.rs
@@ -60,6 +60,7 @@
         local_backlog: (slot % 7) as f32,
         remote_backlog: 0.0,
         block_seconds: 0.05,
+        recent_seconds: 0.0,
         eviction_age: 5_000,
         delay_penalty: 0.0,
         version_penalty: 0.0,
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -46,6 +46,9 @@
 /// Weight of the wait in the cost: a request that joins a queue also delays those that join it
 /// later.
 const WAIT_WEIGHT: f32 = 1.3;
+/// Weight of recent work in the cost: without it, the first one of the idle endpoints got most of the
+/// work. Large enough to decide between idle endpoints, and small against the cost of a lost prefix.
+const RECENT_WEIGHT: f32 = 0.05;
 /// Maximum relative jitter of costs, so that instances do not all choose the same endpoint.
 const COST_JITTER: f32 = 0.05;
 
@@ -64,8 +67,12 @@
     pub local_backlog: f32,
     /// Blocks of other instances' requests that the endpoint computes before this request.
     pub remote_backlog: f32,
-    /// Time to compute one block, in seconds.
+    /// Time that the endpoint takes to compute one block, in seconds; the unit of all values in
+    /// blocks.
     pub block_seconds: f32,
+    /// Seconds of work that were sent there lately, whether done or not. Small against a queue, they
+    /// decide between endpoints that are alike otherwise, as idle ones are.
+    pub recent_seconds: f32,
     /// Age at which half of the blocks are evicted.
     pub eviction_age: Millis,
     /// Penalty for delaying more urgent requests, in blocks; capped at the blocks of this request.
@@ -112,7 +119,7 @@
     pub missed: f32,
     /// Blocks of this request that the endpoint is expected to fetch.
     pub fetched: f32,
-    /// Blocks of other requests that the endpoint is expected to compute before.
+    /// Blocks of other requests that the endpoint is expected to compute before, at its own pace.
     pub wait: f32,
     /// Expected time to first token including all weights and penalties, in seconds.
     pub cost: f32,
@@ -394,7 +401,8 @@
         fetched,
         wait,
         cost: (wait * WAIT_WEIGHT + computed + delay_penalty + candidate.version_penalty)
-            * candidate.block_seconds,
+            * candidate.block_seconds
+            + candidate.recent_seconds * RECENT_WEIGHT,
         source: fetch.map(|(option, _)| option.source),
         source_hits: fetch.map_or(0.0, |(option, _)| option.hits),
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod save;
 pub mod share;
 pub mod shed;
+pub mod speed;
 pub mod stop;
 pub mod suspect;
 pub mod weights;
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -83,6 +83,20 @@
         self.base + self.block * computed + self.fetch * fetched
     }
 
+    /// Time that an answer like `sample` is expected to take.
+    pub fn expected_seconds(&self, sample: &Sample) -> f32 {
+        dot(&sample.features(), &self.coefficients())
+    }
+
+    /// The pace of an engine that takes `factor` of the time.
+    pub fn scaled(&self, factor: f32) -> Self {
+        Self {
+            base: self.base * factor,
+            block: self.block * factor,
+            fetch: self.fetch * factor,
+        }
+    }
+
     /// Base, block and fetch, for messages.
     pub fn coefficients(&self) -> [f32; COUNT] {
         [self.base, self.block, self.fetch]
@@ -116,6 +130,17 @@
     pub fetched: f32,
 }
 
+impl Sample {
+    /// What the coefficients of a [`Pace`] are multiplied by.
+    fn features(&self) -> [f32; COUNT] {
+        [
+            f32::from(u8::from(self.was_idle)),
+            self.computed,
+            self.fetched,
+        ]
+    }
+}
+
 /// Estimator of a [`Pace`].
 ///
 /// # Invariants
@@ -156,12 +181,8 @@
 
     /// Records an answer that has begun.
     pub fn record(&mut self, sample: &Sample) {
-        let features = [
-            f32::from(u8::from(sample.was_idle)),
-            sample.computed,
-            sample.fetched,
-        ];
-        let expected = dot(&features, &self.pace.coefficients());
+        let features = sample.features();
+        let expected = self.pace.expected_seconds(sample);
         if expected <= 0.0 || !sample.seconds.is_finite() {
             return;
         }
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -57,6 +57,7 @@
             local_backlog: 0.0,
             remote_backlog: 0.0,
             block_seconds: estimate.block_seconds,
+            recent_seconds: 0.0,
             eviction_age: estimate.eviction_age,
             delay_penalty: 0.0,
             version_penalty: 0.0,
--- a/crates/policy/tests/fetch.rs
+++ b/crates/policy/tests/fetch.rs
@@ -43,6 +43,7 @@
             local_backlog: 0.0,
             remote_backlog: 0.0,
             block_seconds: 0.036,
+            recent_seconds: 0.0,
             eviction_age: 30_000,
             delay_penalty: 0.0,
             version_penalty: 0.0,
--- a/crates/policy/tests/planner.rs
+++ b/crates/policy/tests/planner.rs
@@ -17,11 +17,18 @@
         pick, //
     },
     inflow::Inflow,
-    pace::Pace,
+    pace::{
+        Estimator,
+        Pace, //
+    },
     prefix::{
         BLOCK_TOKENS,
         Chain,
         name_hash, //
+    },
+    speed::{
+        Recent,
+        Speed, //
     }, //
 };
 
@@ -39,6 +46,14 @@
 /// Interval between requests; without any cache hit the engines are busy about half of the time.
 const INTERVAL_MS: Millis = 25;
 const REQUESTS: u64 = 1_600;
+/// Windows over which the load of engines is compared.
+const WINDOW_MS: Millis = 200;
+/// Lateness from which a start counts as late, in seconds.
+const LATE_SECONDS: f32 = 0.5;
+/// Slow spells: one in every period, at another time on each engine.
+const SPELL_PERIOD_MS: Millis = 4_000;
+const SPELL_MS: Millis = 600;
+const SPELL_FACTOR: f32 = 2.5;
 
 /// The actual state of an engine.
 struct Engine {
@@ -47,9 +62,32 @@
     cached: Vec<(u64, u64)>,
     /// Time at which the engine becomes idle, in seconds.
     busy_until: f32,
+    /// Time that it takes relative to the others.
+    factor: f32,
+    /// When its spells begin within their period; `None` for an engine without spells.
+    spell: Option<Millis>,
 }
 
 impl Engine {
+    /// Seconds at which work that begins at `start` and takes `seconds` at the common pace is done.
+    fn end(&self, start: f32, mut seconds: f32) -> f32 {
+        let mut now = start;
+        while seconds > 0.0 {
+            let phase = (now * 1_000.0) as Millis % SPELL_PERIOD_MS;
+            let is_slow =
+                |spell: Millis| (phase + SPELL_PERIOD_MS - spell) % SPELL_PERIOD_MS < SPELL_MS;
+            let slowness = if self.spell.is_some_and(is_slow) {
+                SPELL_FACTOR
+            } else {
+                1.0
+            };
+            let step = seconds.min(0.005);
+            now += step * self.factor * slowness;
+            seconds -= step;
+        }
+        now
+    }
+
     /// Computes the prefix, unless it is cached, and the `suffix` tokens that are specific to the
     /// request; returns the number of blocks computed.
     fn compute(&mut self, prefix: u64, tokens: u64, suffix: u64) -> f32 {
@@ -71,6 +109,9 @@
 struct View {
     beliefs: Table,
     queues: Vec<Queue>,
+    speeds: Vec<Speed>,
+    recent: Vec<Recent>,
+    pace: Estimator,
     inflows: Vec<Inflow>,
 }
 
@@ -81,14 +122,58 @@
     waits: Vec<f32>,
     /// Blocks that were computed.
     blocks: f32,
+    /// Seconds of work that were sent, by window and engine.
+    work: Vec<[f32; ENGINES]>,
+}
+
+impl Outcome {
+    /// The busiest engine's work over the mean, averaged over the windows.
+    fn busiest_to_mean(&self) -> f32 {
+        let ratio = |work: &[f32; ENGINES]| {
+            let mean = work.iter().sum::<f32>() / ENGINES as f32;
+            work.iter().copied().fold(0.0, f32::max) / mean.max(f32::MIN_POSITIVE)
+        };
+        self.work.iter().map(ratio).sum::<f32>() / self.work.len() as f32
+    }
+
+    /// Fraction of the requests that started late.
+    fn late(&self) -> f32 {
+        let late = self.waits.iter().filter(|wait| **wait > LATE_SECONDS);
+        late.count() as f32 / self.waits.len() as f32
+    }
 }
 
-fn simulate(is_sole: bool) -> Outcome {
+/// What is simulated.
+#[derive(Clone, Copy)]
+struct Scenario {
+    is_sole: bool,
+    requests: u64,
+    interval_ms: Millis,
+    /// Whether engines run at 0.6, 1.0 and 1.6 of the pace, with slow spells.
+    is_uneven: bool,
+    /// Whether the planner learns the speed of each engine and counts its recent work.
+    learns: bool,
+}
+
+fn simulate(scenario: Scenario) -> Outcome {
+    let Scenario {
+        is_sole,
+        requests,
+        interval_ms,
+        is_uneven,
+        learns,
+    } = scenario;
     let mut engines: Vec<Engine> = (0..ENGINES)
         .map(|n| Engine {
             name: format!("engine-{n}"),
             cached: Vec::new(),
             busy_until: 0.0,
+            factor: if is_uneven {
+                [0.6, 1.0, 1.6][n % 3]
+            } else {
+                1.0
+            },
+            spell: is_uneven.then_some(n as Millis * 1_237 % SPELL_PERIOD_MS),
         })
         .collect();
     let views = if is_sole { 1 } else { INSTANCES };
@@ -96,6 +181,9 @@
         .map(|_| View {
             beliefs: Table::new(1 << 14),
             queues: vec![Queue::default(); ENGINES],
+            speeds: vec![Speed::default(); ENGINES],
+            recent: vec![Recent::default(); ENGINES],
+            pace: Estimator::new(PACE),
             inflows: vec![Inflow::default(); ENGINES],
         })
         .collect();
@@ -109,11 +197,12 @@
     let mut outcome = Outcome {
         waits: Vec::new(),
         blocks: 0.0,
+        work: vec![[0.0; ENGINES]; (requests * interval_ms).div_ceil(WINDOW_MS) as usize],
     };
     // End of the computation in seconds, index of the view, index of the engine, ticket.
     let mut running: Vec<(f32, usize, usize, u64)> = Vec::new();
-    for number in 0..REQUESTS {
-        let now = 100_000 + number * INTERVAL_MS;
+    for number in 0..requests {
+        let now = 100_000 + number * interval_ms;
         // Skews the popularity of the prefixes.
         let prefix = draw(PREFIXES).min(draw(PREFIXES));
         let tokens = 6_000 + 2_048 * (prefix % 8);
@@ -128,27 +217,48 @@
             let has_ended = end <= now as f32 / 1_000.0;
             if has_ended {
                 let view: &mut View = &mut views[view_index];
-                view.queues[engine].remove(now, ticket);
+                let at = (end * 1_000.0) as Millis;
+                let sample = view.queues[engine].begin(at, ticket);
+                if let Some(sample) = sample.filter(|_| is_uneven) {
+                    view.speeds[engine].record(at, &sample, &view.pace.pace());
+                    view.pace.record(&sample);
+                }
             }
             !has_ended
         });
         let view = &mut views[view_index];
-        let candidates: Vec<Candidate<'_>> = (0..ENGINES)
-            .map(|index| Candidate {
+        let pace = view.pace.pace();
+        let candidate = |index: usize| {
+            let queue = &mut view.queues[index];
+            let head = queue.head(now);
+            let speed = view.speeds[index];
+            let factor = if learns { speed.factor(now) } else { 1.0 };
+            let late_head = head.filter(|_| learns);
+            let delay = late_head.map_or(0.0, |head| speed.delay(now, &head, &pace));
+            let block_seconds = pace.block * factor;
+            let recent_blocks = if learns {
+                view.recent[index].blocks(now)
+            } else {
+                0.0
+            };
+            Candidate {
                 name: &engines[index].name,
                 hash: name_hash(&engines[index].name),
                 holder: holder(index),
                 in_flight: 0,
                 local_backlog: 0.0,
-                remote_backlog: view.queues[index].remaining(now, &PACE) / BLOCK_SECONDS,
-                block_seconds: BLOCK_SECONDS,
+                remote_backlog: (queue.remaining(now, &pace.scaled(factor)) + delay)
+                    / block_seconds,
+                block_seconds,
+                recent_seconds: recent_blocks * block_seconds,
                 eviction_age: view.inflows[index].eviction_age(now, CAPACITY),
                 delay_penalty: 0.0,
                 version_penalty: 0.0,
                 store_hits: 0.0,
                 store_wait: 0.0,
-            })
-            .collect();
+            }
+        };
+        let candidates: Vec<Candidate<'_>> = (0..ENGINES).map(candidate).collect();
         let request = Request {
             levels: &chain.levels,
             tail: chain.tail,
@@ -164,10 +274,14 @@
         let blocks = engine.compute(prefix, tokens, suffix);
         let seconds = now as f32 / 1_000.0;
         let start = engine.busy_until.max(seconds);
-        engine.busy_until = start + blocks * BLOCK_SECONDS;
+        engine.busy_until = engine.end(start, blocks * BLOCK_SECONDS);
+        let window = (number * interval_ms / WINDOW_MS) as usize;
+        outcome.work[window][choice.index] += engine.busy_until - start;
         outcome.waits.push(start - seconds);
+
         outcome.blocks += blocks;
         view.queues[choice.index].push(now, number, choice.missed, choice.fetched);
+        view.recent[choice.index].add(now, choice.missed);
         view.inflows[choice.index].add(now, blocks * BLOCK_TOKENS as f32);
         for level in chain.hashes() {
             view.beliefs.insert(level, holder(choice.index), now);
@@ -190,7 +304,14 @@
 /// one prefix.
 #[test]
 fn one_planner_has_shorter_waits_than_independent_instances() {
-    let (one, many) = (simulate(true), simulate(false));
+    let scenario = |is_sole| Scenario {
+        is_sole,
+        requests: REQUESTS,
+        interval_ms: INTERVAL_MS,
+        is_uneven: false,
+        learns: false,
+    };
+    let (one, many) = (simulate(scenario(true)), simulate(scenario(false)));
     let p95 = |outcome: &Outcome| outcome.waits[outcome.waits.len() * 95 / 100];
     println!(
         "p95 {} and {}, blocks {} and {}",
@@ -202,3 +323,30 @@
     assert!(p95(&one) < p95(&many) / 2.0);
     assert!(one.blocks <= many.blocks * 1.1);
 }
+
+/// Guards against engines of different speed that get the same work, so that the slow ones start late.
+#[test]
+fn a_planner_that_learns_the_speed_of_each_engine_has_fewer_late_starts() {
+    // From half to most of what the engines can do.
+    let intervals = [8, 6, 5];
+    let late = intervals.map(|interval_ms| {
+        [false, true].map(|learns| {
+            let outcome = simulate(Scenario {
+                is_sole: true,
+                requests: 4_800,
+                interval_ms,
+                is_uneven: true,
+                learns,
+            });
+            println!(
+                "interval {interval_ms} learns {learns}: busiest to mean {:.2}, late {:.4}, blocks {}",
+                outcome.busiest_to_mean(),
+                outcome.late(),
+                outcome.blocks,
+            );
+            outcome.late()
+        })
+    });
+    let [before, after] = [0, 1].map(|index| late.iter().map(|pair| pair[index]).sum::<f32>());
+    assert!(after < before * 0.7, "{late:?}");
+}
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -388,8 +388,9 @@
     request: &Request<'_>,
 ) -> Option<Choice> {
     let class = query.class;
-    let pace = node.planner.queues.pace(query.service);
-    let old_weights_penalty = query.objective.as_secs_f32() * OLD_WEIGHTS_PENALTY / pace.block;
+    let queues = &node.planner.queues;
+    let pace = queues.pace(query.service);
+    let old_weights_penalty = query.objective.as_secs_f32() * OLD_WEIGHTS_PENALTY;
     let capacity = query.engine().map_or(0.0, |e| e.cache_tokens as f32);
     let mut store_hits = Vec::new();
     let mut candidates: Vec<Candidate<'_>> = Vec::with_capacity(eligible.len());
@@ -397,6 +398,9 @@
         let in_flight = &e.health.in_flight;
         let inflow = &e.view.estimate.inflow;
         let hit = store_hit(node, query, &e.endpoint, &mut store_hits);
+        // An instance that decides alone does not know the queues.
+        let load = request.is_sole.then(|| queues.load(e.health.hash, &pace));
+        let block_seconds = pace.block * load.map_or(1.0, |load| load.factor);
         candidates.push(Candidate {
             name: &e.endpoint.registration.name,
             hash: e.health.hash,
@@ -408,21 +412,18 @@
             } else {
                 in_flight.blocks_ahead(class) + in_flight.running() as f32 * RUNNING_REQUEST_BLOCKS
             },
-            remote_backlog: if request.is_sole {
-                node.planner.queues.remaining(e.health.hash, &pace) / pace.block
-            } else {
-                0.0
-            },
-            block_seconds: pace.block,
+            remote_backlog: load.map_or(0.0, |load| load.wait_seconds / block_seconds),
+            block_seconds,
+            recent_seconds: load.map_or(0.0, |load| load.recent_seconds),
             eviction_age: if request.is_sole {
                 inflow.eviction_age(request.now, capacity)
             } else {
                 e.view.estimate.eviction_age
             },
             store_hits: hit.blocks,
-            store_wait: hit.wait_blocks,
+            store_wait: hit.wait_blocks * pace.block / block_seconds,
             version_penalty: if e.has_old_weights {
-                old_weights_penalty
+                old_weights_penalty / block_seconds
             } else {
                 0.0
             },
@@ -441,7 +442,13 @@
     }
     SCRATCH.with_borrow_mut(|scratch| {
         let pick = |beliefs: &_| choice::pick(&candidates, beliefs, request, scratch);
-        node.beliefs.read(pick)
+        let choice = node.beliefs.read(pick)?;
+        // Other instances know the service's pace, not the engine's.
+        let factor = candidates[choice.index].block_seconds / pace.block;
+        Some(Choice {
+            wait: choice.wait * factor,
+            ..choice
+        })
     })
 }
 
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -10,6 +10,7 @@
 
 mod exclusion;
 mod queues;
+mod speeds;
 
 use std::{
     net::SocketAddr,
--- a/crates/router/src/planner/queues.rs
+++ b/crates/router/src/planner/queues.rs
@@ -20,6 +20,7 @@
     sorted, //
 };
 
+use super::speeds::Speeds;
 use crate::message::Reasons;
 
 /// Requests that were placed and have not started, by engine, and what is known of the services.
@@ -33,6 +34,7 @@
     ///
     /// Sorted by name, without duplicates.
     services: Mutex<Vec<(Arc<str>, Service)>>,
+    pub(super) speeds: Speeds,
 }
 
 /// What is known of one service.
@@ -45,11 +47,6 @@
 }
 
 impl Queues {
-    /// Time, in seconds, that the queue of the engine with this hash takes at `pace`.
-    pub fn remaining(&self, engine: u64, pace: &Pace) -> f32 {
-        self.with_queue(engine, |queue, now| queue.remaining(now, pace))
-    }
-
     /// Pace of the engines of a service, as far as it is known here.
     pub fn pace(&self, service: &Arc<str>) -> Pace {
         self.with_service(service, |service| service.pace.pace())
@@ -77,13 +74,18 @@
     pub(super) fn push(&self, engine: u64, ticket: u64, reasons: &Reasons) {
         self.with_queue(engine, |queue, now| {
             queue.push(now, ticket, reasons.missed, reasons.fetched);
+            self.speeds.add(engine, now, reasons.missed);
         });
     }
 
     /// Removes a request of `service` that has begun, and learns the pace from it.
     pub(super) fn begin(&self, engine: u64, service: &Arc<str>, ticket: u64) {
-        let sample = self.with_queue(engine, |queue, now| queue.begin(now, ticket));
-        if let Some(sample) = sample {
+        let sample = self.with_queue(engine, |queue, now| {
+            queue.begin(now, ticket).map(|sample| (now, sample))
+        });
+        if let Some((now, sample)) = sample {
+            let pace = self.pace(service);
+            self.speeds.record(engine, now, &sample, &pace);
             self.with_service(service, |service| service.pace.record(&sample));
         }
     }
@@ -92,7 +94,11 @@
         self.with_queue(engine, |queue, now| queue.remove(now, ticket));
     }
 
-    fn with_queue<T>(&self, engine: u64, update: impl FnOnce(&mut Queue, Millis) -> T) -> T {
+    pub(super) fn with_queue<T>(
+        &self,
+        engine: u64,
+        update: impl FnOnce(&mut Queue, Millis) -> T,
+    ) -> T {
         let now = u64::try_from(clock::now().as_millis()).unwrap_or(Millis::MAX);
         update(sorted::entry(&mut self.queues.lock(), &engine), now)
     }
