--- a/crates/router/src/planner/queues.rs
+++ b/crates/router/src/planner/queues.rs
@@ -16,7 +16,8 @@
         Estimator,
         Pace, //
     },
-    shed::Turns, //
+    shed::Turns,
+    speed::Reference, //
 };
 use settings::Class;
 use state::{
@@ -24,6 +25,7 @@
     sorted, //
 };
 
+use super::speeds::Speeds;
 use crate::message::Reasons;
 
 /// Requests that were placed and have not started, by engine, and what is known of the services.
@@ -37,6 +39,7 @@
     ///
     /// Sorted by name, without duplicates.
     services: Mutex<Vec<(Arc<str>, Service)>>,
+    pub(super) speeds: Speeds,
 }
 
 /// What is known of one service.
@@ -44,17 +47,13 @@
 struct Service {
     /// Pace of its engines.
     pace: Estimator,
+    /// What the speeds of its engines are relative to.
+    reference: Reference,
     /// Turns of the callers that were refused.
     turns: Turns,
 }
 
 impl Queues {
-    /// Time, in seconds, that the engine with this hash takes at `pace` before it turns to a new
-    /// request of this class.
-    pub fn remaining(&self, engine: u64, pace: &Pace, class: Class) -> f32 {
-        self.with_queue(engine, |queue, now| queue.remaining(now, pace, class as u8))
-    }
-
     /// Pace of the engines of a service, as far as it is known here.
     pub fn pace(&self, service: &Arc<str>) -> Pace {
         self.with_service(service, |service| service.pace.pace())
@@ -85,14 +84,25 @@
             computed: reasons.missed,
             fetched: reasons.fetched,
         };
-        self.with_queue(engine, |queue, now| queue.push(now, ticket, work));
+        self.with_queue(engine, |queue, now| {
+            queue.push(now, ticket, work);
+            self.speeds.add(engine, now, reasons.missed);
+        });
     }
 
     /// Removes a request of `service` that has begun, and learns the pace from it.
     pub(super) fn begin(&self, engine: u64, service: &Arc<str>, ticket: u64) {
-        let sample = self.with_queue(engine, |queue, now| queue.begin(now, ticket));
-        if let Some(sample) = sample {
-            self.with_service(service, |service| service.pace.record(&sample));
+        let sample = self.with_queue(engine, |queue, now| {
+            queue.begin(now, ticket).map(|sample| (now, sample))
+        });
+        if let Some((now, sample)) = sample {
+            let (pace, typical) = self.with_service(service, |service| {
+                let pace = service.pace.pace();
+                service.reference.record(now, &sample, &pace);
+                service.pace.record(&sample);
+                (pace, service.reference.ratio())
+            });
+            self.speeds.record(engine, now, &sample, &pace, typical);
         }
     }
 
@@ -103,11 +113,20 @@
         self.with_queue(engine, age).map(Duration::from_millis)
     }
 
+    /// Time that the engines of a service took lately, over what its pace expects.
+    pub fn typical_ratio(&self, service: &Arc<str>) -> f32 {
+        self.with_service(service, |service| service.reference.ratio())
+    }
+
     pub(super) fn remove(&self, engine: u64, ticket: u64) {
         self.with_queue(engine, |queue, now| queue.remove(now, ticket));
     }
 
-    fn with_queue<T>(&self, engine: u64, update: impl FnOnce(&mut Queue, Millis) -> T) -> T {
+    pub(super) fn with_queue<T>(
+        &self,
+        engine: u64,
+        update: impl FnOnce(&mut Queue, Millis) -> T,
+    ) -> T {
         let now = u64::try_from(clock::now().as_millis()).unwrap_or(Millis::MAX);
         update(sorted::entry(&mut self.queues.lock(), &engine), now)
     }
