Planner: the next instance plans while one is silent, and even load without any

Cause: after two missing answers of its planner an instance decided alone for 0.7 s, like all others, without any load and with two random engines beside the homes of the prefix. Answers that came after the time limit left their request in the planner's queue for 4 s. Requests that asked a silent planner again all waited 60 ms for it.

Change: a request without an answer goes to the instance that ranks next by rendezvous hashing; after two missing answers it goes there at once. Of the requests that may ask the silent planner again (every 0.7 s) one does, and its answer ends the silence (event 450). A late answer is given back to the planner. While no planner answers, an instance draws among the engines whose cost is within 0.1 s of the least, by their room (policy::spread), with the waits that planners told and its own sends since. REQUEST_PLACED has placed_by; damask_placements, damask_engine_factor and damask_view_age are new. No datagram changes; no calls to endpoints are added.

--- a/crates/damaskd/src/caller/choose.rs
+++ b/crates/damaskd/src/caller/choose.rs
@@ -129,6 +129,7 @@
         fetch_cost: None,
         home_prior: choice::HOME_PRIOR,
         is_sole: false,
+        tolerance: 0.0,
     };
     let Some(choice) = pick(node, route, &eligible, &request) else {
         let message = format!("route {} has no endpoint left to try", route.name);
--- a/crates/policy/benches/choice.rs
+++ b/crates/policy/benches/choice.rs
@@ -113,6 +113,7 @@
             fetch_cost: None,
             home_prior: HOME_PRIOR,
             is_sole: false,
+            tolerance: 0.0,
         };
         pick(&candidates, &table, black_box(&request), &mut scratch)
     };
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -14,7 +14,8 @@
         Level,
         cached_levels,
         total_blocks, //
-    }, //
+    },
+    spread, //
 };
 
 /// Strategy for choosing endpoints; all but the default are baselines for measurements.
@@ -105,6 +106,9 @@
     /// Whether no other instance chooses among these candidates; all of them are then considered,
     /// without jitter.
     pub is_sole: bool,
+    /// Seconds by which costs may differ without meaning, since other instances choose with the same
+    /// old loads; all candidates are then considered. 0 if the others are few.
+    pub tolerance: f32,
 }
 
 /// The chosen candidate with the estimates behind the choice.
@@ -150,6 +154,8 @@
     considered: Vec<u16>,
     /// Highest score and index of its candidate, by depth.
     homes: Vec<(u64, u16)>,
+    /// Costs of the considered candidates.
+    costs: Vec<f32>,
 }
 
 impl Scratch {
@@ -202,7 +208,7 @@
     /// Collects the candidates to evaluate: believed holders, homes and random samples.
     fn select_candidates(&mut self, candidates: &[Candidate<'_>], request: &Request<'_>) {
         self.considered.clear();
-        if request.is_sole {
+        if request.is_sole || request.tolerance > 0.0 {
             self.considered.extend((0..).take(candidates.len()));
             return;
         }
@@ -294,10 +300,19 @@
     let source = request
         .fetch_cost
         .and_then(|_| scratch.best_source(request));
-    let choices = scratch.considered.iter().map(|&index| {
+    let mut costs = std::mem::take(&mut scratch.costs);
+    let mut choices = scratch.considered.iter().map(|&index| {
         let expectation = scratch.expectation(index, request);
         evaluate(candidates, &expectation, source.as_ref(), request)
     });
+    if request.tolerance > 0.0 {
+        costs.clear();
+        costs.extend(choices.clone().map(|choice| choice.cost));
+        let drawn = spread::draw(costs.iter().copied(), request.tolerance, request.seed);
+        let choice = choices.nth(drawn?);
+        scratch.costs = costs;
+        return choice;
+    }
     let jitter = if request.is_sole { 0.0 } else { COST_JITTER };
     choices.min_by(|a, b| {
         let cost = |choice| jittered(choice, request.seed, jitter);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod share;
 pub mod shed;
 pub mod speed;
+pub mod spread;
 pub mod stop;
 pub mod suspect;
 pub mod weights;
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -96,6 +96,7 @@
             fetch_cost: None,
             home_prior: HOME_PRIOR,
             is_sole: false,
+            tolerance: 0.0,
         };
         let choice = pick(&self.candidates, &self.beliefs, &request, &mut self.scratch)?;
         let candidate = &mut self.candidates[choice.index];
@@ -150,6 +151,7 @@
         fetch_cost: None,
         home_prior: HOME_PRIOR,
         is_sole: false,
+        tolerance: 0.0,
     };
     let mut hits = |epoch| {
         let mut candidate = instance.candidates[index];
@@ -280,6 +282,7 @@
             fetch_cost: None,
             home_prior: HOME_PRIOR,
             is_sole: false,
+            tolerance: 0.0,
         };
         let choice = pick(&candidates, &table, &request, &mut Scratch::default()).unwrap();
         // For most seeds both are sampled, and the second must win; otherwise the first was sampled
--- a/crates/policy/tests/fetch.rs
+++ b/crates/policy/tests/fetch.rs
@@ -66,6 +66,7 @@
         fetch_cost: Some(0.15),
         home_prior: 0.95,
         is_sole: false,
+        tolerance: 0.0,
     };
     pick(candidates, table, &request, &mut Scratch::default()).unwrap()
 }
@@ -166,6 +167,7 @@
             fetch_cost: Some(fetch_cost),
             home_prior: 0.0,
             is_sole: true,
+            tolerance: 0.0,
         };
         pick(candidates, &beliefs, &request, &mut Scratch::default()).unwrap()
     };
--- a/crates/policy/tests/planner.rs
+++ b/crates/policy/tests/planner.rs
@@ -279,6 +279,7 @@
             fetch_cost: None,
             home_prior: if is_sole { 0.1 } else { 0.95 },
             is_sole,
+            tolerance: 0.0,
         };
         let scratch = &mut Scratch::default();
         let choice = pick(&candidates, &view.beliefs, &request, scratch).unwrap();
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -36,7 +36,6 @@
         self,
         Permit, //
     },
-    config::Choice,
     fleet::Endpoint,
     limit,
     message::End,
@@ -128,8 +127,7 @@
     must_place: bool,
 ) -> Result<(Decision, Option<Ticket>), Refusal> {
     let mut placement = Placement::Unplanned;
-    let is_planned = node.config.choice == Choice::Planned;
-    let is_planned = is_planned && query.engine().is_some();
+    let is_planned = planner::is_planned(node, query);
     // What may not get there is not placed, since it would count as waiting work for all instances.
     if is_planned && !reach::is_probe_due(node, query) {
         placement = planner::place(node, query, must_place).await;
@@ -167,6 +165,7 @@
         ..
     } = decision;
     let superseded_at = node.superseded_at(&endpoint, endpoint.version());
+    let placed_by = ticket.as_ref().map_or("alone", |ticket| ticket.rank.name());
     emit!(
         info,
         event::REQUEST_PLACED,
@@ -176,6 +175,7 @@
         version = endpoint.version(),
         superseded_ms = superseded_at.map(|at| millis(clock::now().saturating_sub(at))),
         planned = ticket.is_some(),
+        placed_by = placed_by,
         hits = reasons.hits,
         missed = reasons.missed,
         wait = reasons.wait,
@@ -189,6 +189,18 @@
     node.metrics
         .record_placement(&call.service, reasons.hits, reasons.missed, wait);
     let now = node.beliefs.now();
+    if query.engine().is_some() {
+        let age = node.planner.views.known(health.hash).age(now);
+        let view_age = Duration::from_millis(age);
+        node.metrics.count_placed(&call.service, placed_by);
+        if ticket.is_none() {
+            node.metrics.record_view_age(&call.service, view_age);
+        }
+        let own_seconds = pace.service_seconds(reasons.missed, reasons.fetched);
+        node.planner
+            .views
+            .record_sent(health.hash, now, own_seconds);
+    }
     health.update_estimate(|estimate| {
         estimate.breaker.record_sent(now);
         estimate.path.record_sent(now);
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -53,6 +53,7 @@
     fleet::Endpoint,
     message::Reasons,
     node::Node,
+    planner,
     protocol::Protocol,
     request::Call, //
 };
@@ -204,6 +205,7 @@
         fetch_cost: Some(pace.relative_fetch_cost()),
         home_prior: if is_sole { SOLE_HOME_PRIOR } else { HOME_PRIOR },
         is_sole,
+        tolerance: planner::tolerance(node, query, scope),
     };
     let choice = pick(node, query, &eligible, &request)?;
     let (source, save_to) = prefix_transfers(node, query, &choice, &eligible);
@@ -415,7 +417,10 @@
             } else {
                 in_flight.blocks_ahead(class) + in_flight.running() as f32 * RUNNING_REQUEST_BLOCKS
             },
-            remote_backlog: load.map_or(0.0, |load| load.wait_seconds / block_seconds),
+            remote_backlog: match load {
+                Some(load) => load.wait_seconds / block_seconds,
+                None => planner::told_blocks(node, query, e, block_seconds),
+            },
             block_seconds,
             recent_seconds: load.map_or(0.0, |load| load.recent_seconds),
             eviction_age: if request.is_sole {
@@ -447,7 +452,13 @@
         let pick = |beliefs: &_| choice::pick(&candidates, beliefs, request, scratch);
         let choice = node.beliefs.read(pick)?;
         // Other instances know the service's pace, not the engine's.
-        let factor = candidates[choice.index].block_seconds / pace.block;
+        let chosen = &candidates[choice.index];
+        if request.is_sole {
+            let load = queues.load(chosen.hash, &pace, typical);
+            node.metrics
+                .record_engine_factor(query.service, load.factor);
+        }
+        let factor = chosen.block_seconds / pace.block;
         Some(Choice {
             wait: choice.wait * factor,
             ..choice
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -284,7 +284,9 @@
                 send(node, &Message::PlacementResponse(response), from).await;
             }
         }
-        Message::PlacementResponse(ref response) => node.exchange.answer(response.id, message),
+        Message::PlacementResponse(response) => {
+            planner::handle_placement_response(node, response, from);
+        }
         Message::LimitRequest(request) => {
             let grant = limit::handle_request(node, &request);
             send(node, &Message::LimitGrant(grant), from).await;
--- a/crates/router/src/exchange/query.rs
+++ b/crates/router/src/exchange/query.rs
@@ -20,15 +20,20 @@
 impl Exchange {
     /// Passes an answer to the query with this id, if it is still pending.
     pub(super) fn answer(&self, query_id: u32, message: Message) {
+        self.deliver(query_id, message);
+    }
+
+    /// Like [`Exchange::answer`]; returns whether the query still waits for its answer.
+    pub fn deliver(&self, query_id: u32, message: Message) -> bool {
         let mut state = self.state.lock();
         let position = state.pending.iter().position(|(id, _)| *id == query_id);
         let Some(index) = position else {
-            return;
+            return false;
         };
         let (_, sender) = state.pending.swap_remove(index);
         drop(state);
         // Fails if the query has timed out.
-        sender.send(message).ok();
+        sender.send(message).is_ok()
     }
 
     /// Creates a pending query; returns its id and the receiver of its answer.
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -9,8 +9,13 @@
 //! the planner does not answer.
 
 mod exclusion;
+mod late;
+mod order;
 mod queues;
+mod request;
+mod silence;
 mod speeds;
+mod views;
 
 use std::{
     net::SocketAddr,
@@ -24,7 +29,6 @@
     time::Duration, //
 };
 
-use parking_lot::Mutex;
 use policy::{
     pace::{
         self,
@@ -73,56 +77,29 @@
     protocol::Protocol, //
 };
 
+pub use late::handle_placement_response;
+use order::Rank;
 pub use queues::Queues;
+use silence::Silences;
+use views::Views;
+pub use views::{
+    is_planned,
+    told_blocks,
+    tolerance, //
+};
 
 /// Timeout for the planner's answer: many round trips within a region.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
-/// Consecutive missing answers after which the planner is not asked for a while. More than one,
-/// since a single datagram may be lost.
-const MAX_MISSES: u32 = 2;
-/// Time for which a planner that does not answer is not asked again.
-const SILENCE_BACKOFF: Duration = Duration::from_millis(700);
-
 /// State of the placement of model requests, as the planner or as its client.
 #[derive(Debug, Default)]
 pub struct State {
-    backoff: Backoff,
+    silences: Silences,
+    /// Loads that planners have told.
+    pub views: Views,
     /// Backlog of each engine for which this instance is the planner.
     pub queues: Arc<Queues>,
 }
 
-/// Suspends requests to planners while answers are missing.
-#[derive(Debug, Default)]
-struct Backoff(Mutex<BackoffState>);
-
-#[derive(Debug, Default)]
-struct BackoffState {
-    /// Consecutive missing answers.
-    misses: u32,
-    retry_at: Duration,
-}
-
-impl Backoff {
-    fn is_active(&self, now: Duration) -> bool {
-        self.0.lock().retry_at > now
-    }
-
-    fn record_answer(&self) {
-        self.0.lock().misses = 0;
-    }
-
-    /// Records a missing answer and returns whether the backoff has started.
-    fn record_miss(&self, now: Duration) -> bool {
-        let mut state = self.0.lock();
-        state.misses += 1;
-        let is_backing_off = state.misses >= MAX_MISSES;
-        if is_backing_off {
-            state.retry_at = now + SILENCE_BACKOFF;
-        }
-        is_backing_off
-    }
-}
-
 /// A placed request. Dropping the ticket reports to the planner that the request has ended, unless
 /// an outcome was reported before.
 #[derive(Debug)]
@@ -131,6 +108,8 @@
     service: Arc<str>,
     endpoint: Arc<str>,
     recipient: Recipient,
+    /// Rank of the planner that placed the request.
+    pub rank: Rank,
     reported: AtomicBool,
 }
 
@@ -197,30 +176,59 @@
 }
 
 /// Places a model request; with `must_place` it is never refused for its wait.
+///
+/// The planner that ranks second is asked at once if the first one does not answer. It does not know
+/// what the first one has placed, so that the first one is asked again from time to time.
 pub async fn place<P: Protocol>(node: &Node<P>, query: &Query<'_>, must_place: bool) -> Placement {
-    match find_planner(node, query) {
-        Some(Planner::Local) => match plan(node, query, must_place) {
-            Plan::Endpoint(decision, id) => {
-                let ticket = Ticket {
-                    id,
-                    service: query.service.clone(),
-                    endpoint: decision.endpoint.registration.name.clone(),
-                    recipient: Recipient::Local(node.planner.queues.clone(), decision.health.hash),
-                    reported: AtomicBool::new(false),
-                };
-                Placement::Endpoint(decision, ticket)
+    let mut silent = None;
+    for rank in [Rank::First, Rank::Second] {
+        match find_planner(node, query, silent) {
+            Some(Planner::Local) => return place_here(node, query, must_place, rank),
+            Some(Planner::Remote(address)) => {
+                if node.planner.silences.allows(address, clock::now())
+                    && let Some(placement) =
+                        ask_planner(node, query, address, must_place, rank).await
+                {
+                    return placement;
+                }
+                silent = Some(address);
             }
-            Plan::RetryAfter(wait) => Placement::RetryAfter(wait),
-            Plan::None => Placement::Unplanned,
-        },
-        Some(Planner::Remote(address)) => ask_planner(node, query, address, must_place).await,
-        None => Placement::Unplanned,
+            None => return Placement::Unplanned,
+        }
+    }
+    Placement::Unplanned
+}
+
+fn place_here<P: Protocol>(
+    node: &Node<P>,
+    query: &Query<'_>,
+    must_place: bool,
+    rank: Rank,
+) -> Placement {
+    match plan(node, query, must_place) {
+        Plan::Endpoint(decision, id) => {
+            let ticket = Ticket {
+                id,
+                service: query.service.clone(),
+                endpoint: decision.endpoint.registration.name.clone(),
+                recipient: Recipient::Local(node.planner.queues.clone(), decision.health.hash),
+                rank,
+                reported: AtomicBool::new(false),
+            };
+            Placement::Endpoint(decision, ticket)
+        }
+        Plan::RetryAfter(wait) => Placement::RetryAfter(wait),
+        Plan::None => Placement::Unplanned,
     }
 }
 
-/// The planner of the request's cell. Instances agree on it as far as they know the same live
-/// members.
-fn find_planner<P: Protocol>(node: &Node<P>, query: &Query<'_>) -> Option<Planner> {
+/// The planner of the request's cell, or the next one if `silent` does not answer. Instances agree on it
+/// as far as they know the same live members.
+fn find_planner<P: Protocol>(
+    node: &Node<P>,
+    query: &Query<'_>,
+    silent: Option<SocketAddr>,
+) -> Option<Planner> {
     let (cell, _) = decide::cell_of(node, query);
     let subject = format!("{}/{cell}", query.service);
     node.members.with_live(clock::now(), |members| {
@@ -231,7 +239,8 @@
                 name: &member.name,
                 domain: "",
                 // Once any member has a fast link, slow ones are excluded as if they were leaving.
-                leaving: any_fast_link && !member.has_fast_link(),
+                leaving: (any_fast_link && !member.has_fast_link())
+                    || Some(member.row.exchange) == silent,
             })
             .collect();
         let first = members[rank::first(&subject, &candidates)?];
@@ -282,21 +291,20 @@
     Plan::Endpoint(decision, ticket)
 }
 
+/// Asks the planner at this address; `None` if it does not answer.
 async fn ask_planner<P: Protocol>(
     node: &Node<P>,
     query: &Query<'_>,
     planner: SocketAddr,
     must_place: bool,
-) -> Placement {
-    if node.planner.backoff.is_active(clock::now()) {
-        return Placement::Unplanned;
-    }
+    rank: Rank,
+) -> Option<Placement> {
     let pace = node.planner.queues.learned_pace(query.service);
     let Some(excluded) = exclusion::names(node, query) else {
-        return Placement::Unplanned;
+        return Some(Placement::Unplanned);
     };
     let message = |id| {
-        let placement = placement_request(query, &excluded, id, must_place, pace);
+        let placement = request::placement(query, &excluded, id, must_place, pace);
         match query.build {
             None => Message::PlacementRequest(placement),
             Some(build) => Message::ResumptionRequest(ResumptionRequest {
@@ -309,53 +317,25 @@
     if let Ok(Some(Message::PlacementResponse(response))) =
         tokio::time::timeout(ANSWER_TIMEOUT, answer).await
     {
-        node.planner.backoff.record_answer();
+        if let Some(silence) = node.planner.silences.record_answer(planner, clock::now()) {
+            let silent_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+            emit!(info, event::PLANNER_RETURNED, planner = %planner, silent_ms = silent_ms);
+        }
         if let Some(pace) = Pace::from_coefficients(response.pace) {
             node.planner.queues.adopt_pace(query.service, pace);
         }
-        return check_placement(node, query, planner, response);
+        return Some(check_placement(node, query, planner, response, rank));
     }
-    if node.planner.backoff.record_miss(clock::now()) {
+    if node.planner.silences.record_miss(planner, clock::now()) {
         emit!(
             info,
             event::PLANNER_SILENT,
             service = &**query.service,
             planner = %planner,
+            rank = rank.name(),
         );
     }
-    Placement::Unplanned
-}
-
-fn placement_request(
-    query: &Query<'_>,
-    excluded: &[Arc<str>],
-    id: u32,
-    must_place: bool,
-    pace: Option<Pace>,
-) -> PlacementRequest {
-    let objective = query.objective.as_millis();
-    PlacementRequest {
-        id,
-        service: query.service.to_string(),
-        model: query.model.map(str::to_owned),
-        class: query.class,
-        objective_ms: u32::try_from(objective).unwrap_or(u32::MAX),
-        levels: query
-            .chain
-            .levels
-            .iter()
-            .map(|l| (l.hash, l.blocks))
-            .collect(),
-        tail: query.chain.tail,
-        tried: query
-            .tried
-            .iter()
-            .chain(excluded)
-            .map(|name| name.to_string())
-            .collect(),
-        must_go: must_place,
-        pace: pace.map(|pace| pace.coefficients()),
-    }
+    None
 }
 
 /// Adopts the planner's decision, if the endpoint is eligible by this instance's own view.
@@ -364,6 +344,7 @@
     query: &Query<'_>,
     planner: SocketAddr,
     response: PlacementResponse,
+    rank: Rank,
 ) -> Placement {
     let name: Arc<str> = match response.to {
         Destination::Endpoint(name) => name.into(),
@@ -377,6 +358,7 @@
         service: query.service.clone(),
         endpoint: name.clone(),
         recipient: Recipient::Remote(node.exchange.socket.clone(), planner),
+        rank,
         reported: AtomicBool::new(false),
     };
     let fleet = node.endpoints.fleet();
@@ -387,6 +369,9 @@
     let Some(eligible) = checked.filter(|eligible| !eligible.endpoint.is_loading()) else {
         return Placement::Unplanned;
     };
+    let seconds = node.planner.queues.pace(query.service).block * response.reasons.wait;
+    let views = &node.planner.views;
+    views.record_report(eligible.health.hash, now, seconds);
     let decision = Decision {
         endpoint: eligible.endpoint,
         health: eligible.health,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -98,7 +98,7 @@
     ENDPOINT_UNREADABLE = 403;
     /// A stream continues at another endpoint.
     STREAM_RESUMED = 404;
-    /// The planner of model requests did not answer; this instance chooses endpoints alone for a while.
+    /// A planner of model requests did not answer; this instance asks the one that ranks second for a while, and chooses endpoints alone while neither answers.
     PLANNER_SILENT = 405;
     /// A request is sent to an endpoint; the expected cache hits and misses are counted in blocks of its prompt.
     REQUEST_PLACED = 406;
@@ -154,6 +154,8 @@
     CONNECTION_RELAYED = 433;
     /// An endpoint states that it falls over if it has to reject more requests in a second than named, or no longer does.
     ENDPOINT_BRITTLE = 434;
+    /// A planner of model requests that was silent answers again.
+    PLANNER_RETURNED = 450;
     /// The table did not answer a request about token rights; the rights expire with their term if this lasts.
     RIGHTS_FAULT = 500;
     /// Other instances ended the rights of this instance after its term; it starts over.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -31,6 +31,9 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.48, 0.75, 1.0, 2.0, 5.0, 15.0, 60.0,
 ];
 
+/// Upper bounds of the buckets of engines' factors.
+const FACTOR_BUCKETS: [f64; 10] = [0.4, 0.5, 0.6, 0.7, 0.8, 1.0, 1.25, 1.6, 2.0, 2.5];
+
 /// Metrics could not be set up or encoded.
 #[derive(Debug)]
 #[derive(Error)]
@@ -49,6 +52,9 @@
     prompt_blocks: Counter<f64>,
     planned_wait: Histogram<f64>,
     event_gap: Histogram<f64>,
+    placements: Counter<u64>,
+    engine_factor: Histogram<f64>,
+    view_age: Histogram<f64>,
     table_calls: Counter<u64>,
     table_restores: Counter<u64>,
     states: Gauge<u64>,
@@ -109,6 +115,19 @@
                 "damask_event_gap",
                 "longest pause between events of one stream",
             ),
+            view_age: seconds(
+                "damask_view_age",
+                "age of the load by which an instance chose an engine alone",
+            ),
+            engine_factor: meter
+                .f64_histogram("damask_engine_factor")
+                .with_description("time that chosen engines take, relative to all of their service")
+                .with_boundaries(FACTOR_BUCKETS.to_vec())
+                .build(),
+            placements: meter
+                .u64_counter("damask_placements")
+                .with_description("engines chosen, by who chose")
+                .build(),
             requests: meter.u64_counter("damask_requests").build(),
             attempts: meter
                 .u64_counter("damask_attempts")
@@ -179,6 +198,27 @@
             .record(planned_wait.as_secs_f64(), &[label]);
     }
 
+    /// Counts an engine that was chosen by its planner, by the second planner or by this instance alone.
+    pub fn count_placed(&self, service: &str, by: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("by", by),
+        ];
+        self.placements.add(1, &labels);
+    }
+
+    /// Records the factor of an engine that this instance chose as planner.
+    pub fn record_engine_factor(&self, service: &str, factor: f32) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.engine_factor.record(f64::from(factor), &labels);
+    }
+
+    /// Records the age of the load by which this instance chose an engine alone.
+    pub fn record_view_age(&self, service: &str, age: Duration) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.view_age.record(age.as_secs_f64(), &labels);
+    }
+
     /// Records the longest pause between events of one stream; the label `class` holds the name of
     /// the route.
     pub fn record_event_gap(&self, route: &str, longest_gap: Duration) {
