--- a/crates/damaskd/src/caller/choose.rs
+++ b/crates/damaskd/src/caller/choose.rs
@@ -129,6 +129,7 @@
         fetch_cost: None,
         home_prior: choice::HOME_PRIOR,
         is_sole: false,
+        tolerance: 0.0,
     };
     let Some(choice) = pick(node, route, &eligible, &request) else {
         let message = format!("route {} has no endpoint left to try", route.name);
@@ -215,7 +216,6 @@
             local_backlog: health.in_flight.blocks_ahead(class),
             remote_backlog: view.estimate.reported_blocks(request.now),
             block_seconds: view.estimate.block_seconds,
-            recent_seconds: 0.0,
             eviction_age: view.estimate.eviction_age,
             version_penalty: if view.version_mismatch {
                 VERSION_PENALTY_BLOCKS
--- a/crates/policy/benches/choice.rs
+++ b/crates/policy/benches/choice.rs
@@ -60,7 +60,6 @@
         local_backlog: (slot % 7) as f32,
         remote_backlog: 0.0,
         block_seconds: 0.05,
-        recent_seconds: 0.0,
         eviction_age: 5_000,
         delay_penalty: 0.0,
         version_penalty: 0.0,
@@ -113,6 +112,7 @@
             fetch_cost: None,
             home_prior: HOME_PRIOR,
             is_sole: false,
+            tolerance: 0.0,
         };
         pick(&candidates, &table, black_box(&request), &mut scratch)
     };
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -14,7 +14,8 @@
         Level,
         cached_levels,
         total_blocks, //
-    }, //
+    },
+    spread, //
 };
 
 /// Strategy for choosing endpoints; all but the default are baselines for measurements.
@@ -46,9 +47,6 @@
 /// Weight of the wait in the cost: a request that joins a queue also delays those that join it
 /// later.
 const WAIT_WEIGHT: f32 = 1.3;
-/// Weight of recent work in the cost: without it, the first one of the idle endpoints got most of the
-/// work. Large enough to decide between idle endpoints, and small against the cost of a lost prefix.
-const RECENT_WEIGHT: f32 = 0.05;
 /// Maximum relative jitter of costs, so that instances do not all choose the same endpoint.
 const COST_JITTER: f32 = 0.05;
 
@@ -69,9 +67,6 @@
     pub remote_backlog: f32,
     /// Time that the endpoint takes to compute one block, in seconds; the unit of its values in blocks.
     pub block_seconds: f32,
-    /// Seconds of work that were sent there lately, whether done or not. Small against a queue, they
-    /// decide between endpoints that are alike otherwise, as idle ones are.
-    pub recent_seconds: f32,
     /// Age at which half of the blocks are evicted.
     pub eviction_age: Millis,
     /// Penalty for delaying more urgent requests, in blocks; capped at the blocks of this request.
@@ -105,6 +100,9 @@
     /// Whether no other instance chooses among these candidates; all of them are then considered,
     /// without jitter.
     pub is_sole: bool,
+    /// Seconds by which costs may differ without meaning, since other instances choose with the same
+    /// old loads; all candidates are then considered. 0 if the others are few.
+    pub tolerance: f32,
 }
 
 /// The chosen candidate with the estimates behind the choice.
@@ -150,6 +148,8 @@
     considered: Vec<u16>,
     /// Highest score and index of its candidate, by depth.
     homes: Vec<(u64, u16)>,
+    /// Costs of the considered candidates.
+    costs: Vec<f32>,
 }
 
 impl Scratch {
@@ -202,7 +202,7 @@
     /// Collects the candidates to evaluate: believed holders, homes and random samples.
     fn select_candidates(&mut self, candidates: &[Candidate<'_>], request: &Request<'_>) {
         self.considered.clear();
-        if request.is_sole {
+        if request.is_sole || request.tolerance > 0.0 {
             self.considered.extend((0..).take(candidates.len()));
             return;
         }
@@ -294,10 +294,19 @@
     let source = request
         .fetch_cost
         .and_then(|_| scratch.best_source(request));
-    let choices = scratch.considered.iter().map(|&index| {
+    let mut costs = std::mem::take(&mut scratch.costs);
+    let mut choices = scratch.considered.iter().map(|&index| {
         let expectation = scratch.expectation(index, request);
         evaluate(candidates, &expectation, source.as_ref(), request)
     });
+    if request.tolerance > 0.0 {
+        costs.clear();
+        costs.extend(choices.clone().map(|choice| choice.cost));
+        let drawn = spread::draw(costs.iter().copied(), request.tolerance, request.seed);
+        let choice = choices.nth(drawn?);
+        scratch.costs = costs;
+        return choice;
+    }
     let jitter = if request.is_sole { 0.0 } else { COST_JITTER };
     choices.min_by(|a, b| {
         let cost = |choice| jittered(choice, request.seed, jitter);
@@ -400,8 +409,7 @@
         fetched,
         wait,
         cost: (wait * WAIT_WEIGHT + computed + delay_penalty + candidate.version_penalty)
-            * candidate.block_seconds
-            + candidate.recent_seconds * RECENT_WEIGHT,
+            * candidate.block_seconds,
         source: fetch.map(|(option, _)| option.source),
         source_hits: fetch.map_or(0.0, |(option, _)| option.hits),
     }
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -115,28 +115,3 @@
     let age = now.saturating_sub(updated_at) as f32;
     (-age / DECAY_MS).exp()
 }
-
-/// Time constant at which recently placed work loses weight.
-const RECENT_MS: f32 = 500.0;
-
-/// Blocks of the requests that were placed at one engine lately, whether computed or not.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Recent {
-    /// Decayed up to `updated_at`.
-    blocks: f32,
-    updated_at: Millis,
-}
-
-impl Recent {
-    /// Adds a request that is placed at `now`.
-    pub fn add(&mut self, now: Millis, blocks: f32) {
-        self.blocks = self.blocks(now) + blocks.max(0.0);
-        self.updated_at = now.max(self.updated_at);
-    }
-
-    /// Blocks placed lately, as of `now`.
-    pub fn blocks(&self, now: Millis) -> f32 {
-        let age = now.saturating_sub(self.updated_at) as f32;
-        self.blocks * (-age / RECENT_MS).exp()
-    }
-}
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -57,7 +57,6 @@
             local_backlog: 0.0,
             remote_backlog: 0.0,
             block_seconds: estimate.block_seconds,
-            recent_seconds: 0.0,
             eviction_age: estimate.eviction_age,
             delay_penalty: 0.0,
             version_penalty: 0.0,
@@ -96,6 +95,7 @@
             fetch_cost: None,
             home_prior: HOME_PRIOR,
             is_sole: false,
+            tolerance: 0.0,
         };
         let choice = pick(&self.candidates, &self.beliefs, &request, &mut self.scratch)?;
         let candidate = &mut self.candidates[choice.index];
@@ -150,6 +150,7 @@
         fetch_cost: None,
         home_prior: HOME_PRIOR,
         is_sole: false,
+        tolerance: 0.0,
     };
     let mut hits = |epoch| {
         let mut candidate = instance.candidates[index];
@@ -280,6 +281,7 @@
             fetch_cost: None,
             home_prior: HOME_PRIOR,
             is_sole: false,
+            tolerance: 0.0,
         };
         let choice = pick(&candidates, &table, &request, &mut Scratch::default()).unwrap();
         // For most seeds both are sampled, and the second must win; otherwise the first was sampled
--- a/crates/policy/tests/planner.rs
+++ b/crates/policy/tests/planner.rs
@@ -30,7 +30,6 @@
         name_hash, //
     },
     speed::{
-        Recent,
         Reference,
         Speed,
         cost_factor, //
@@ -117,7 +116,6 @@
     queues: Vec<Queue>,
     speeds: Vec<Speed>,
     reference: Reference,
-    recent: Vec<Recent>,
     pace: Estimator,
     inflows: Vec<Inflow>,
 }
@@ -159,7 +157,7 @@
     interval_ms: Millis,
     /// Whether engines run at 0.6, 1.0 and 1.6 of the pace, with slow spells.
     is_uneven: bool,
-    /// Whether the planner learns the speed of each engine and counts its recent work.
+    /// Whether the planner learns the speed of each engine.
     learns: bool,
 }
 
@@ -192,7 +190,6 @@
             queues: vec![Queue::default(); ENGINES],
             speeds: vec![Speed::default(); ENGINES],
             reference: Reference::default(),
-            recent: vec![Recent::default(); ENGINES],
             pace: Estimator::new(PACE),
             inflows: vec![Inflow::default(); ENGINES],
         })
@@ -252,11 +249,6 @@
                 (1.0, 1.0)
             };
             let block_seconds = pace.block * cost_factor;
-            let recent_blocks = if learns {
-                view.recent[index].blocks(now)
-            } else {
-                0.0
-            };
             Candidate {
                 name: &engines[index].name,
                 hash: name_hash(&engines[index].name),
@@ -265,7 +257,6 @@
                 local_backlog: 0.0,
                 remote_backlog: queue.remaining(now, &pace.scaled(factor), 0) / block_seconds,
                 block_seconds,
-                recent_seconds: recent_blocks * pace.block * factor,
                 eviction_age: view.inflows[index].eviction_age(now, CAPACITY),
                 delay_penalty: 0.0,
                 version_penalty: 0.0,
@@ -282,6 +273,7 @@
             fetch_cost: None,
             home_prior: if is_sole { 0.1 } else { 0.95 },
             is_sole,
+            tolerance: 0.0,
         };
         let scratch = &mut Scratch::default();
         let choice = pick(&candidates, &view.beliefs, &request, scratch).unwrap();
@@ -301,7 +293,6 @@
             fetched: choice.fetched,
         };
         view.queues[choice.index].push(now, number, work);
-        view.recent[choice.index].add(now, choice.missed);
         view.inflows[choice.index].add(now, blocks * BLOCK_TOKENS as f32);
         for level in chain.hashes() {
             view.beliefs.insert(level, holder(choice.index), now);
--- a/crates/router/src/planner/queues.rs
+++ b/crates/router/src/planner/queues.rs
@@ -84,10 +84,7 @@
             computed: reasons.missed,
             fetched: reasons.fetched,
         };
-        self.with_queue(engine, |queue, now| {
-            queue.push(now, ticket, work);
-            self.speeds.add(engine, now, reasons.missed);
-        });
+        self.with_queue(engine, |queue, now| queue.push(now, ticket, work));
     }
 
     /// Removes a request of `service` that has begun, and learns the pace from it.
--- a/crates/router/src/planner/speeds.rs
+++ b/crates/router/src/planner/speeds.rs
@@ -1,4 +1,4 @@
-//! Speed and recent work of each engine that this instance places requests at.
+//! Speed of each engine that this instance places requests at.
 
 use parking_lot::Mutex;
 use policy::{
@@ -9,7 +9,6 @@
     },
     speed::{
         self,
-        Recent,
         Speed, //
     }, //
 };
@@ -24,13 +23,7 @@
     /// # Invariants
     ///
     /// Sorted by the hash of the engine's name, without duplicates.
-    engines: Mutex<Vec<(u64, Engine)>>,
-}
-
-#[derive(Debug, Default)]
-struct Engine {
-    speed: Speed,
-    recent: Recent,
+    engines: Mutex<Vec<(u64, Speed)>>,
 }
 
 /// Load of one engine, as its planner knows it.
@@ -42,8 +35,6 @@
     pub cost_factor: f32,
     /// Time that the engine's queue takes, in seconds.
     pub wait_seconds: f32,
-    /// Seconds of work that were placed at the engine lately, whether done or not.
-    pub recent_seconds: f32,
 }
 
 impl Speeds {
@@ -56,17 +47,10 @@
         pace: &Pace,
         typical: f32,
     ) {
-        self.with_engine(engine, |engine| {
-            engine.speed.record(now, sample, pace, typical);
-        });
-    }
-
-    /// Records a request that is placed at an engine, which computes `blocks` for it.
-    pub(super) fn add(&self, engine: u64, now: Millis, blocks: f32) {
-        self.with_engine(engine, |engine| engine.recent.add(now, blocks));
+        self.with_engine(engine, |speed| speed.record(now, sample, pace, typical));
     }
 
-    fn with_engine<T>(&self, engine: u64, update: impl FnOnce(&mut Engine) -> T) -> T {
+    fn with_engine<T>(&self, engine: u64, update: impl FnOnce(&mut Speed) -> T) -> T {
         update(sorted::entry(&mut self.engines.lock(), &engine))
     }
 }
@@ -76,15 +60,14 @@
     /// service, and `typical` its [`speed::Reference::ratio`].
     pub fn load(&self, engine: u64, pace: &Pace, typical: f32, class: Class) -> Load {
         self.with_queue(engine, |queue, now| {
-            self.speeds.with_engine(engine, |engine| {
-                let factor = engine.speed.factor(now, typical);
-                Load {
-                    factor,
-                    cost_factor: speed::cost_factor(factor),
-                    wait_seconds: queue.remaining(now, &pace.scaled(factor), class as u8),
-                    recent_seconds: engine.recent.blocks(now) * pace.block * factor,
-                }
-            })
+            let factor = self
+                .speeds
+                .with_engine(engine, |speed| speed.factor(now, typical));
+            Load {
+                factor,
+                cost_factor: speed::cost_factor(factor),
+                wait_seconds: queue.remaining(now, &pace.scaled(factor), class as u8),
+            }
         })
     }
 }
