Bound the memory and descriptors that callers can take

Cause: nothing bounded the sum of what callers send. A body was collected frame by frame and joined into a copy, hyper buffered some 400 KiB of each head, and connections were unlimited, so that callers outside the limits, or many large bodies at once, ended an instance.

Change: router::ingress keeps one account of the bytes of bodies, with a hold that a drop releases, and the connections of each plane with their progress. A body is held once. Without memory an unfinished body waits; then the sender that stalls most memory is shed, and a body that finds none gets 503 memory_exhausted with Retry-After. Heads are bounded by maxHeaderBytes and headerTimeoutMs. Connections are bounded by memory_mb and max_fds; the longest idle one is closed, never one with a request that was read whole. The buffers of the system for received bytes and the memory of large answers are bounded too. damaskd uses the same account and bounds.

--- a/crates/damaskd/src/caller/body.rs
+++ b/crates/damaskd/src/caller/body.rs
@@ -1,36 +1,46 @@
 //! Reads the body of a request with limits on its size and on the time to arrive.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
+use router::ingress::{
+    self,
+    Fault, //
+};
 
 use super::{
     Code,
     Refusal, //
 };
-use crate::config::Limits;
+use crate::node::Node;
+
+/// Delay after which callers retry a request for whose body there was no memory.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Reads the complete body.
 ///
 /// # Errors
 ///
-/// If the body is too large, does not arrive in time, or is cut off.
-pub async fn read(body: &mut Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
-    let collected = Limited::new(body, limits.max_body_bytes).collect();
-    match tokio::time::timeout(limits.body_timeout, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
-            Code::BodyTooLarge,
-            format!("the body exceeds {} bytes", limits.max_body_bytes),
-        )),
-        Ok(Err(error)) => Err(Refusal::not_run(Code::BadRequest, error.to_string())),
-        Err(_) => Err(Refusal::not_run(
+/// If the body is too large, does not arrive in time, is cut off or finds no memory.
+pub async fn read(body: &mut Incoming, node: &Node) -> Result<Bytes, Refusal> {
+    let limits = &node.config.limits;
+    let read = ingress::read(body, limits.max_body_bytes, &node.ingress.bodies);
+    let Ok(read) = tokio::time::timeout(limits.body_timeout, read).await else {
+        return Err(Refusal::not_run(
             Code::BodyTimeout,
             format!("the body did not arrive within {:?}", limits.body_timeout),
-        )),
-    }
+        ));
+    };
+    read.map_err(|fault| match fault {
+        Fault::TooLarge => Refusal::not_run(
+            Code::BodyTooLarge,
+            format!("the body exceeds {} bytes", limits.max_body_bytes),
+        ),
+        Fault::Broken(error) => Refusal::not_run(Code::BadRequest, error.to_string()),
+        Fault::Shed => {
+            let refusal = Refusal::not_run(Code::Overloaded, fault.to_string());
+            refusal.retry_after(MEMORY_RETRY_DELAY)
+        }
+    })
 }
--- a/crates/damaskd/src/caller/mod.rs
+++ b/crates/damaskd/src/caller/mod.rs
@@ -40,6 +40,13 @@
     header, //
 };
 use hyper::body::Incoming;
+use router::{
+    http::MAX_HEAD_BYTES,
+    ingress::{
+        Bounds,
+        Closure, //
+    }, //
+};
 use settings::{
     Class,
     Digest,
@@ -159,6 +166,15 @@
         }
     }
 
+    fn bounds(&self) -> Bounds {
+        let machine = &self.node.ingress.machine;
+        self.node.bounds(machine.caller_connections(MAX_HEAD_BYTES))
+    }
+
+    fn count_closure(&self, closure: Closure) {
+        self.node.metrics.count_closure("callers", closure.as_str());
+    }
+
     fn head_timeout(&self) -> Duration {
         self.node.config.limits.head_timeout
     }
--- a/crates/damaskd/src/caller/model.rs
+++ b/crates/damaskd/src/caller/model.rs
@@ -147,7 +147,7 @@
         Err(refusal) => return Err(refusal),
     };
     let (parts, body) = request.into_parts();
-    let body = body::read(body, &node.config.limits).await?;
+    let body = body::read(body, node).await?;
     key::check_leak(&parts.headers, &[&body])?;
     let prompt = Arc::new(parse(call, caller.as_ref(), api, &body)?);
     if !prompt.route.route.repeatable && parts.headers.contains_key(endpoint::IDEMPOTENCY_KEY) {
--- a/crates/damaskd/src/caller/plain.rs
+++ b/crates/damaskd/src/caller/plain.rs
@@ -98,7 +98,7 @@
     freshness::check(node, &route)?;
     let workspace = authorize(call, &route, &parts)?;
     let claim = idempotency::claim_name(&route, &workspace, &parts.headers)?;
-    let body = body::read(body, &node.config.limits).await?;
+    let body = body::read(body, node).await?;
     // Repeated, since the body may have taken long to arrive.
     key::check(node, call, &route)?;
     let outgoing = Outgoing::new(&parts, body);
--- a/crates/damaskd/src/daemon.rs
+++ b/crates/damaskd/src/daemon.rs
@@ -12,6 +12,7 @@
 
 use anyhow::Context;
 use policy::choice::Strategy;
+use router::ingress::RECEIVE_BYTES;
 use telemetry::{
     emit,
     event, //
@@ -160,6 +161,7 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BYTES)?;
     socket.bind(address)?;
     socket.listen(ACCEPT_BACKLOG)?.into_std()
 }
--- a/crates/damaskd/src/node.rs
+++ b/crates/damaskd/src/node.rs
@@ -23,6 +23,14 @@
     table, //
 };
 use policy::choice::Strategy;
+use router::{
+    http::MAX_HEAD_BYTES,
+    ingress::{
+        Bounds,
+        Ingress,
+        Machine, //
+    }, //
+};
 use state::{
     belief,
     delta,
@@ -92,6 +100,8 @@
     pub members: member::Table,
     /// Connections to endpoints.
     pub pool: Arc<Pool>,
+    /// What callers may make this instance hold.
+    pub ingress: Ingress,
     /// Claims of requests that may run at most once.
     pub claims: Arc<Claims>,
     /// Requests that run or wait for capacity.
@@ -146,6 +156,7 @@
             withdrawals: withdrawal::Set::default(),
             members: member::Table::default(),
             pool: Arc::default(),
+            ingress: Ingress::new(Machine::new(None, None)),
             queues: Arc::default(),
             rights: Rights::default(),
             freshness: freshness::Table::default(),
@@ -167,6 +178,17 @@
         })
     }
 
+    /// Bounds for the connections of a plane that may have this many.
+    pub fn bounds(&self, connections: usize) -> Bounds {
+        let limits = &self.config.limits;
+        Bounds {
+            head_bytes: MAX_HEAD_BYTES,
+            head_time: limits.head_timeout,
+            idle_time: limits.body_timeout,
+            connections,
+        }
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/crates/damaskd/src/operator/mod.rs
+++ b/crates/damaskd/src/operator/mod.rs
@@ -17,11 +17,13 @@
     StatusCode,
     header, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::body::Incoming;
+use router::ingress::{
+    self,
+    Bounds,
+    Closure,
+    Fault, //
+};
 use serde::de::DeserializeOwned;
 use serde_json::{
     Value,
@@ -99,6 +101,17 @@
         }
     }
 
+    fn bounds(&self) -> Bounds {
+        self.node
+            .bounds(self.node.ingress.machine.peer_connections())
+    }
+
+    fn count_closure(&self, closure: Closure) {
+        self.node
+            .metrics
+            .count_closure("operators", closure.as_str());
+    }
+
     fn head_timeout(&self) -> Duration {
         self.node.config.limits.head_timeout
     }
@@ -126,13 +139,21 @@
 /// If the body is too large, does not arrive in time, or does not parse.
 async fn read_json<T: DeserializeOwned>(
     node: &Node,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
 ) -> Result<T, Refusal> {
     let bad_request = |status, message: String| Refusal::new(status, "bad_request", message);
     let limits = &node.config.limits;
-    let body = Limited::new(request.into_body(), limits.max_body_bytes).collect();
+    let body = ingress::read(
+        request.body_mut(),
+        limits.max_body_bytes,
+        &node.ingress.bodies,
+    );
     let body = match tokio::time::timeout(limits.body_timeout, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
+        Ok(Err(Fault::Shed)) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Refusal::new(status, "overloaded", Fault::Shed.to_string()));
+        }
         Ok(Err(error)) => return Err(bad_request(StatusCode::BAD_REQUEST, error.to_string())),
         Err(_) => {
             let message = format!("no whole body within {:?}", limits.body_timeout);
--- a/crates/damaskd/src/peer/server.rs
+++ b/crates/damaskd/src/peer/server.rs
@@ -18,7 +18,10 @@
     emit,
     event, //
 };
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    sync::Semaphore, //
+};
 use wire::peer_capnp::{
     gate,
     peer, //
@@ -31,11 +34,17 @@
 
 /// Accepts peers until the process ends.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(node.ingress.machine.peer_connections()));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
+        // A peer that finds no place tries again with its next exchange.
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            emit!(debug, event::PEER_REFUSED, reason = "too many connections");
+            continue;
+        };
         let network = super::network(stream, Side::Server);
         let authenticated = Rc::new(Cell::new(false));
         let gate: gate::Client = capnp_rpc::new_client(Gate {
@@ -44,6 +53,7 @@
         });
         let system = RpcSystem::new(Box::new(network), Some(gate.client));
         tokio::task::spawn_local(async move {
+            let _place = place;
             if let Err(reason) = serve(system, &authenticated).await {
                 emit!(debug, event::PEER_REFUSED, reason = %reason);
             }
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -48,8 +48,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Size up to which answers are collected without regard to others, in bytes.
 const SMALL_ANSWER_BYTES: usize = 64 << 10;
-/// Memory that larger answers share, in KiB; more than the limit of any of them.
-const SHARED_KIB: usize = 16 << 10;
+/// Usual memory that larger answers share, in bytes; more than the limit of any of them.
+const SHARED_BYTES: usize = 16 << 20;
 /// Number of answers that may grow to their limit while the shared memory is used up.
 const MAX_GROWING_ANSWERS: usize = 2;
 
@@ -107,7 +107,7 @@
 
 impl Default for Pool {
     fn default() -> Self {
-        Self::new(HeaderName::from_static(REQUEST_ID))
+        Self::new(HeaderName::from_static(REQUEST_ID), SHARED_BYTES)
     }
 }
 
@@ -280,13 +280,14 @@
 }
 
 impl Pool {
-    /// Creates an empty pool for endpoints that identify requests by `id_header`.
-    pub fn new(id_header: HeaderName) -> Self {
+    /// Creates an empty pool for endpoints that identify requests by `id_header`. Large answers share
+    /// `shared_bytes`, more than the limit of any of them.
+    pub fn new(id_header: HeaderName, shared_bytes: usize) -> Self {
         Self {
             idle: Mutex::default(),
             id_header,
             memory: Memory {
-                shared: Semaphore::new(SHARED_KIB),
+                shared: Semaphore::new(shared_bytes >> 10),
                 growing: Semaphore::new(MAX_GROWING_ANSWERS),
             },
         }
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -15,11 +15,6 @@
     header,
     request::Parts, //
 };
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
 use settings::Class;
 
@@ -29,6 +24,12 @@
         Route,
         Workspace, //
     },
+    ingress::{
+        self,
+        Account,
+        Connection,
+        Fault, //
+    },
     node::Node,
     protocol::{
         Protocol, //
@@ -52,6 +53,9 @@
 /// Delay after which callers retry while no configuration is known; about the time of a restart.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Delay after which callers retry a request for whose body there was no memory.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// A request that may be sent to an endpoint, with the charge to the quota of its workspace.
 #[derive(Debug)]
 pub struct Admission {
@@ -61,7 +65,7 @@
     pub charge: Option<Charge>,
 }
 
-/// Admits a request.
+/// Admits a request; `connection` is told when it was read whole.
 ///
 /// # Errors
 ///
@@ -70,6 +74,7 @@
     node: &Node<P>,
     head: RequestHead,
     request: Request<Incoming>,
+    connection: &Connection,
 ) -> Result<Admission, Refusal> {
     let arrived = Instant::now();
     let (parts, mut body) = request.into_parts();
@@ -88,13 +93,15 @@
     } = authorized;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
-    let body = match read_body(&mut body, catalog.limits.max_body_bytes, deadline).await {
+    let limit = catalog.limits.max_body_bytes;
+    let body = match read_body(&mut body, limit, deadline, &node.ingress.bodies).await {
         Ok(body) => body,
         Err(refusal) => {
             discard(node, body);
             return Err(refusal);
         }
     };
+    connection.set_whole();
     let content = content::<P>(parts, body);
     let workspace_name = workspace.as_ref().map(|workspace| &*workspace.name);
     let call = Call {
@@ -182,23 +189,31 @@
     Ok(text.split(':').next().unwrap_or_default())
 }
 
-async fn read_body(body: &mut Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    let collected = Limited::new(body, limit).collect();
-    match tokio::time::timeout_at(deadline.into(), collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+async fn read_body(
+    body: &mut Incoming,
+    limit: usize,
+    deadline: Instant,
+    account: &Arc<Account>,
+) -> Result<Bytes, Refusal> {
+    let read = ingress::read(body, limit, account);
+    let Ok(read) = tokio::time::timeout_at(deadline.into(), read).await else {
+        let message = "the body did not arrive within the request's time";
+        return Err(Refusal::not_run(Reason::BodyTimeout, message));
+    };
+    read.map_err(|fault| match fault {
+        Fault::TooLarge => {
             let message = format!("the body is larger than {limit} bytes; send a smaller one");
-            Err(Refusal::not_run(Reason::BodyTooLarge, message))
+            Refusal::not_run(Reason::BodyTooLarge, message)
         }
-        Ok(Err(error)) => {
+        Fault::Broken(error) => {
             let message = format!("the body does not read: {error}");
-            Err(Refusal::not_run(Reason::Malformed, message))
+            Refusal::not_run(Reason::Malformed, message)
         }
-        Err(_) => {
-            let message = "the body did not arrive within the request's time";
-            Err(Refusal::not_run(Reason::BodyTimeout, message))
+        Fault::Shed => {
+            let refusal = Refusal::not_run(Reason::MemoryExhausted, fault.to_string());
+            refusal.retry_after(MEMORY_RETRY_DELAY)
         }
-    }
+    })
 }
 
 /// The request for an endpoint, without the caller's key and hop-by-hop headers.
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -12,6 +12,8 @@
 };
 use settings::Digest;
 
+use crate::http::MAX_HEAD_BYTES;
+
 /// Whether a request is retried when the outcome of an attempt is unknown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Repeat {
@@ -138,6 +140,10 @@
     pub max_body_bytes: usize,
     /// Longest time for which a connection may stay idle.
     pub idle_timeout: Duration,
+    /// Largest head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Longest time from the first byte of a head to its end.
+    pub header_timeout: Duration,
 }
 
 impl Default for Limits {
@@ -145,6 +151,8 @@
         Self {
             max_body_bytes: 8 << 20,
             idle_timeout: Duration::from_secs(15),
+            max_header_bytes: MAX_HEAD_BYTES,
+            header_timeout: Duration::from_secs(15),
         }
     }
 }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -49,6 +49,12 @@
     pub table: SocketAddr,
     /// Bandwidth of this instance's link, in megabits per second.
     pub link_mbps: f64,
+    /// Memory of the machine, in megabytes; asked of the system if missing.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Descriptors that the process may open, 200 of them for files; asked of the system if missing.
+    #[serde(default)]
+    pub max_fds: Option<f64>,
     /// How endpoints are chosen.
     #[serde(default)]
     pub choice: Choice,
@@ -200,6 +206,8 @@
             ("bounds.quota_over", bounds.quota_over),
             ("bounds.quota_slack", bounds.quota_slack),
             ("link_mbps", self.link_mbps),
+            ("memory_mb", self.memory_mb.unwrap_or_default()),
+            ("max_fds", self.max_fds.unwrap_or_default()),
         ] {
             if !(0.0..=MAX_NUMBER).contains(&number) {
                 bail!("{name} must be from 0 to {MAX_NUMBER}");
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -32,6 +32,7 @@
         self,
         Service, //
     },
+    ingress::RECEIVE_BYTES,
     node::Node,
     origin,
     peer,
@@ -118,6 +119,17 @@
         tokio::spawn(quarantine::run(node.clone(), table.clone()));
         tokio::spawn(origin::run(node.clone(), table.clone()));
         emit!(info, event::STARTED, instance = node.config.name);
+        let machine = &node.ingress.machine;
+        emit!(
+            info,
+            event::CALLER_BOUNDS,
+            memory = machine.memory,
+            descriptors = machine.descriptors,
+            body_bytes = machine.body_bytes(),
+            answer_bytes = machine.answer_bytes(),
+            peer_connections = machine.peer_connections(),
+            directory_connections = machine.directory_connections(),
+        );
         Ok(Self {
             node,
             stop,
@@ -198,6 +210,7 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BYTES)?;
     socket.bind(address)?;
     socket.listen(ACCEPT_BACKLOG)
 }
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -1,12 +1,13 @@
 //! Response bodies and the HTTP server that all planes share.
 
 mod idle;
+mod serve;
+mod stream;
 
 use std::{
     convert::Infallible,
     future::Future,
     pin::Pin,
-    sync::Arc,
     task::{
         Context,
         Poll, //
@@ -16,47 +17,40 @@
 
 use bytes::Bytes;
 use http::{
-    HeaderValue,
     Request,
     Response,
-    StatusCode,
-    header, //
+    StatusCode, //
 };
 use http_body_util::{
     BodyExt,
     Full, //
 };
-use hyper::{
-    body::{
-        Body as HttpBody,
-        Frame,
-        Incoming, //
-    },
-    server::conn::http1,
-    service::service_fn, //
-};
-use hyper_util::{
-    rt::TokioIo,
-    server::graceful::GracefulShutdown, //
+use hyper::body::{
+    Body as HttpBody,
+    Frame,
+    Incoming, //
 };
-use telemetry::{
-    emit,
-    event, //
-};
-use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
-    sync::{
-        mpsc,
-        watch, //
+use tokio::sync::mpsc;
+
+pub use self::{
+    serve::serve,
+    stream::{
+        Observed,
+        Tracked, //
     }, //
 };
+use crate::ingress::{
+    Bounds,
+    Closure,
+    Connection, //
+};
 
 /// Time in which requests that have arrived are read before idle connections are closed.
 const LAST_READ_TIME: Duration = Duration::from_millis(100);
 
+/// Largest head of a request where no configuration sets it, in bytes.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Time in which the body of a refused request is read on.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bytes up to which it is read on in any case: a change of the configuration may lower the limit by
@@ -190,85 +184,28 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Body>> + Send + '_;
 
-    /// Timeout for reading a request's head, and so for an idle connection.
-    fn head_timeout(&self) -> Duration;
-
-    /// Whether each response asks the caller to close the connection.
-    fn closes_connections(&self) -> bool;
-}
-
-/// Serves a plane until `stop` turns true, then waits until all running requests have ended.
-pub async fn serve<S: Service>(
-    listener: TcpListener,
-    service: Arc<S>,
-    mut stop: watch::Receiver<bool>,
-) {
-    let graceful = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        match accepted {
-            Ok((stream, _)) => spawn_connection(stream, service.clone(), &graceful),
-            Err(error) => {
-                emit!(warn, event::CONNECTION_FAULT, reason = %error);
-                // Accepting fails when file descriptors run out; the delay lets some be freed.
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
-        }
+    /// Answers one request on `connection`, which is told when the request was read whole. Planes that
+    /// need no body of a request take its head for the whole.
+    fn answer_on(
+        &self,
+        request: Request<Incoming>,
+        connection: &Connection,
+    ) -> impl Future<Output = Response<Body>> + Send {
+        connection.set_whole();
+        self.answer(request)
     }
-    for stream in accept_established(listener) {
-        spawn_connection(stream, service.clone(), &graceful);
+
+    /// Bounds for the connections of the plane.
+    fn bounds(&self) -> Bounds {
+        Bounds::default()
     }
-    // Otherwise connections would be closed on which requests have arrived that are not read yet.
-    tokio::time::sleep(LAST_READ_TIME).await;
-    graceful.shutdown().await;
-}
 
-/// Closes the listener and returns the connections that the kernel has already established, which
-/// it would reset. The listener itself is asked, since the runtime may not have noticed them yet.
-fn accept_established(listener: TcpListener) -> Vec<TcpStream> {
-    let Ok(listener) = listener.into_std() else {
-        return Vec::new();
-    };
-    let accepted = std::iter::from_fn(|| listener.accept().ok());
-    let streams = accepted.filter_map(|(stream, _)| {
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    });
-    streams.collect()
-}
+    /// Counts a connection that was closed because of the bounds.
+    fn count_closure(&self, _closure: Closure) {}
 
-fn spawn_connection<S: Service>(stream: TcpStream, service: Arc<S>, graceful: &GracefulShutdown) {
-    // Failing to set the option costs only latency.
-    stream.set_nodelay(true).ok();
-    let head_timeout = service.head_timeout();
-    let timer = idle::Timer(service.clone());
-    let answer = service_fn(move |request| {
-        let service = service.clone();
-        async move {
-            let mut response = service.answer(request).await;
-            if service.closes_connections() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(timer)
-        .header_read_timeout(head_timeout)
-        .serve_connection(TokioIo::new(stream), answer);
-    if S::UPGRADES {
-        tokio::spawn(log_error(connection.with_upgrades()));
-    } else {
-        tokio::spawn(log_error(graceful.watch(connection)));
-    }
-}
+    /// Timeout for the first byte of a request, and so for an idle connection.
+    fn head_timeout(&self) -> Duration;
 
-async fn log_error(connection: impl Future<Output = hyper::Result<()>>) {
-    if let Err(error) = connection.await {
-        emit!(debug, event::CONNECTION_FAULT, reason = %error);
-    }
+    /// Whether each response asks the caller to close the connection.
+    fn closes_connections(&self) -> bool;
 }
--- /dev/null
+++ b/crates/router/src/http/serve.rs
@@ -0,0 +1,247 @@
+//! Accepts the connections of a plane and drives them.
+
+use std::{
+    convert::Infallible,
+    pin::{
+        Pin,
+        pin, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+use http::{
+    HeaderValue,
+    Request,
+    Response,
+    header, //
+};
+use hyper::{
+    body::{
+        Body as HttpBody,
+        Incoming, //
+    },
+    server::conn::http1::{
+        self,
+        UpgradeableConnection, //
+    },
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use telemetry::{
+    emit,
+    event, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::{
+        Instant,
+        MissedTickBehavior,
+        interval, //
+    }, //
+};
+
+use super::{
+    LAST_READ_TIME,
+    Observed,
+    Service,
+    Tracked,
+    idle, //
+};
+use crate::ingress::{
+    Closure,
+    Connection,
+    Connections,
+    Slot, //
+};
+
+/// Interval at which connections without progress are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two lines of the log about closed connections.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Smallest buffer of a connection, in bytes; hyper takes no smaller one.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Serves a plane until `stop` turns true, then waits until all running requests have ended.
+pub async fn serve<S: Service>(
+    listener: TcpListener,
+    service: Arc<S>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let (closing, _) = watch::channel(false);
+    let (running, mut ended) = mpsc::channel(1);
+    let mut plane = Plane {
+        service,
+        connections: Arc::default(),
+        closing,
+        running,
+        logged_at: None,
+    };
+    let mut sweep = interval(SWEEP_INTERVAL);
+    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut swept_at = Instant::now();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+            _ = sweep.tick() => {
+                // What has arrived is not read yet if this process was held up.
+                if swept_at.elapsed() < SWEEP_INTERVAL * 3 / 2 {
+                    plane.sweep();
+                }
+                swept_at = Instant::now();
+                continue;
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => plane.spawn(stream),
+            Err(error) => {
+                emit!(warn, event::CONNECTION_FAULT, reason = %error);
+                // Accepting fails when file descriptors run out; the delay lets some be freed.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+    for stream in accept_established(listener) {
+        plane.spawn(stream);
+    }
+    // Otherwise connections would be closed on which requests have arrived that are not read yet.
+    tokio::time::sleep(LAST_READ_TIME).await;
+    plane.closing.send_replace(true);
+    drop(plane);
+    // Returns when the last connection has ended.
+    ended.recv().await;
+}
+
+/// Closes the listener and returns the connections that the kernel has already established, which
+/// it would reset. The listener itself is asked, since the runtime may not have noticed them yet.
+fn accept_established(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let streams = accepted.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
+}
+
+/// What the connections of a plane share.
+struct Plane<S> {
+    service: Arc<S>,
+    connections: Arc<Connections>,
+    /// Turns true when idle connections are to close, at a stop.
+    closing: watch::Sender<bool>,
+    /// Kept by each connection that a stop waits for.
+    running: mpsc::Sender<Infallible>,
+    /// When a closure was last logged.
+    logged_at: Option<Instant>,
+}
+
+impl<S: Service> Plane<S> {
+    fn sweep(&mut self) {
+        for closure in self.connections.sweep(&self.service.bounds()) {
+            self.report(closure);
+        }
+    }
+
+    /// Counts a closure, and logs it unless one was logged just before: callers that break the bounds
+    /// must not displace other lines.
+    fn report(&mut self, closure: Closure) {
+        self.service.count_closure(closure);
+        let is_due = self.logged_at.is_none_or(|at| at.elapsed() >= LOG_INTERVAL);
+        if is_due {
+            self.logged_at = Some(Instant::now());
+            emit!(info, event::CONNECTION_CLOSED, reason = closure.as_str());
+        }
+    }
+
+    fn spawn(&mut self, stream: TcpStream) {
+        let bounds = self.service.bounds();
+        let slot = match self.connections.admit(bounds.connections) {
+            Ok((slot, None)) => slot,
+            Ok((slot, Some(closure))) => {
+                self.report(closure);
+                slot
+            }
+            Err(closure) => return self.report(closure),
+        };
+        // Failing to set the option costs only latency.
+        stream.set_nodelay(true).ok();
+        let service = self.service.clone();
+        let connection = slot.connection.clone();
+        let answer =
+            service_fn(move |request| answer(service.clone(), connection.clone(), request));
+        let buffer_bytes = bounds.head_bytes.max(MIN_BUFFER_BYTES);
+        let stream = TokioIo::new(Observed::new(stream, slot.connection.clone()));
+        let connection = http1::Builder::new()
+            .timer(idle::Timer(self.service.clone()))
+            .header_read_timeout(self.service.head_timeout())
+            .max_header_size(bounds.head_bytes)
+            .max_buf_size(buffer_bytes)
+            .serve_connection(stream, answer);
+        let closing = self.closing.subscribe();
+        if S::UPGRADES {
+            let connection = connection.with_upgrades();
+            let close =
+                |connection: Pin<&mut _>| UpgradeableConnection::graceful_shutdown(connection);
+            tokio::spawn(drive(connection, close, slot, closing, None));
+        } else {
+            let running = Some(self.running.clone());
+            let close = |connection: Pin<&mut _>| http1::Connection::graceful_shutdown(connection);
+            tokio::spawn(drive(connection, close, slot, closing, running));
+        }
+    }
+}
+
+async fn answer<S: Service>(
+    service: Arc<S>,
+    connection: Arc<Connection>,
+    request: Request<Incoming>,
+) -> Result<Response<Tracked>, Infallible> {
+    connection.begin(request.body().is_end_stream());
+    let mut response = service.answer_on(request, &connection).await;
+    if service.closes_connections() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response.map(|body| Tracked::new(body, connection)))
+}
+
+/// Drives a connection until it ends or is cut; `close` ends it once no request is in progress. Those without `running` are left open at a stop.
+async fn drive<C: Future<Output = hyper::Result<()>>>(
+    connection: C,
+    close: impl Fn(Pin<&mut C>),
+    slot: Slot,
+    mut closing: watch::Receiver<bool>,
+    running: Option<mpsc::Sender<Infallible>>,
+) {
+    let mut connection = pin!(connection);
+    let mut closes_at_stop = running.is_some();
+    loop {
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => {
+                if let Err(error) = ended {
+                    emit!(debug, event::CONNECTION_FAULT, reason = %error);
+                }
+                return;
+            }
+            is_cut = slot.connection.ordered() => {
+                if is_cut {
+                    return;
+                }
+            }
+            _ = closing.wait_for(|closing| *closing), if closes_at_stop => closes_at_stop = false,
+        }
+        close(connection.as_mut());
+    }
+}
--- /dev/null
+++ b/crates/router/src/ingress/connection.rs
@@ -0,0 +1,277 @@
+//! The connections of one plane: which of them are closed when there are too many, and which when
+//! they make no progress.
+//!
+//! One look at all connections each second takes the place of timers for each of them.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU8,
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
+};
+
+use parking_lot::Mutex;
+use state::clock;
+use tokio::sync::Notify;
+
+/// Time in which a connection that was asked to close does so by itself.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+/// Connections over the limit that are still closing, as a share of the limit.
+const CLOSING_DIVISOR: usize = 8;
+
+/// Bounds for the connections of one plane.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bounds {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Longest time from the first byte of a head to its end.
+    pub head_time: Duration,
+    /// Longest time without a byte of a body, or without one taken of an answer.
+    pub idle_time: Duration,
+    /// Most connections.
+    pub connections: usize,
+}
+
+impl Default for Bounds {
+    /// The bounds of planes whose callers are known: as large as hyper's.
+    fn default() -> Self {
+        Self {
+            head_bytes: 400 << 10,
+            head_time: Duration::from_secs(30),
+            idle_time: Duration::from_secs(600),
+            connections: usize::MAX,
+        }
+    }
+}
+
+/// Why a connection was closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Closure {
+    /// There were too many; it was idle longest, or made no progress longest.
+    Evicted,
+    /// There were too many, and all others had requests in progress.
+    Unaccepted,
+    /// The head of a request took too long.
+    HeadTimeout,
+    /// The body of a request made no progress.
+    BodyStalled,
+    /// The caller did not take an answer.
+    AnswerUnread,
+}
+
+impl Closure {
+    /// The name used in logs and labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Closure::Evicted => "evicted",
+            Closure::Unaccepted => "unaccepted",
+            Closure::HeadTimeout => "head_timeout",
+            Closure::BodyStalled => "body_stalled",
+            Closure::AnswerUnread => "answer_unread",
+        }
+    }
+}
+
+/// No request has begun.
+const IDLE: u8 = 0;
+/// A head has begun.
+const HEAD: u8 = 1;
+/// A head was read, and the body has not arrived whole.
+const BODY: u8 = 2;
+/// A request was read whole and is in progress.
+const WHOLE: u8 = 3;
+
+/// The connection stays open.
+const OPEN: u8 = 0;
+/// It closes once no request is in progress.
+const CLOSING: u8 = 1;
+/// It is closed at once.
+const CUT: u8 = 2;
+
+/// What is known of one connection.
+#[derive(Debug, Default)]
+pub struct Connection {
+    phase: AtomicU8,
+    /// Start of the phase, or the last byte of a body, in milliseconds.
+    since_ms: AtomicU64,
+    /// Since when written bytes are not taken, in milliseconds; 0 if they are.
+    blocked_ms: AtomicU64,
+    order: AtomicU8,
+    ordered_ms: AtomicU64,
+    /// Notified when the order changes.
+    wake: Notify,
+}
+
+impl Connection {
+    fn enter(&self, phase: u8) {
+        self.phase.store(phase, Ordering::Relaxed);
+        self.since_ms.store(now_ms(), Ordering::Relaxed);
+    }
+
+    fn phase(&self) -> u8 {
+        self.phase.load(Ordering::Relaxed)
+    }
+
+    /// Records bytes that were read. Empty lines before a request do not begin its head: HTTP allows
+    /// them, and they count against the size of the head.
+    pub fn record_read(&self, bytes: &[u8]) {
+        match self.phase() {
+            IDLE if bytes.iter().any(|byte| !b"\r\n".contains(byte)) => self.enter(HEAD),
+            BODY => self.since_ms.store(now_ms(), Ordering::Relaxed),
+            _ => {}
+        }
+    }
+
+    /// Records whether the caller takes what is written.
+    pub fn record_write(&self, is_blocked: bool) {
+        let blocked = self.blocked_ms.load(Ordering::Relaxed);
+        match (is_blocked, blocked) {
+            (true, 0) => self.blocked_ms.store(now_ms().max(1), Ordering::Relaxed),
+            (false, 1..) => self.blocked_ms.store(0, Ordering::Relaxed),
+            _ => {}
+        }
+    }
+
+    /// Begins a request whose head was read.
+    pub fn begin(&self, is_whole: bool) {
+        self.enter(if is_whole { WHOLE } else { BODY });
+    }
+
+    /// Records that the request was read whole.
+    pub fn set_whole(&self) {
+        self.enter(WHOLE);
+    }
+
+    /// Ends a request. While a body still arrives that nobody needs, the connection is not idle.
+    pub fn end(&self) {
+        if self.phase() == WHOLE {
+            self.enter(IDLE);
+        }
+    }
+
+    /// Waits until the connection is to close; returns whether at once.
+    pub async fn ordered(&self) -> bool {
+        self.wake.notified().await;
+        self.order.load(Ordering::Relaxed) == CUT
+    }
+
+    fn order(&self, order: u8) {
+        self.order.store(order, Ordering::Relaxed);
+        self.ordered_ms.store(now_ms(), Ordering::Relaxed);
+        self.wake.notify_one();
+    }
+
+    /// Why the connection is to be closed at `now`, if it is.
+    fn overdue(&self, bounds: &Bounds, now: u64) -> Option<Closure> {
+        let is_over = |since: &AtomicU64, time| {
+            now.saturating_sub(since.load(Ordering::Relaxed)) >= millis(time)
+        };
+        let is_blocked = self.blocked_ms.load(Ordering::Relaxed) > 0;
+        if is_blocked && is_over(&self.blocked_ms, bounds.idle_time) {
+            return Some(Closure::AnswerUnread);
+        }
+        match self.phase() {
+            HEAD if is_over(&self.since_ms, bounds.head_time) => Some(Closure::HeadTimeout),
+            BODY if is_over(&self.since_ms, bounds.idle_time) => Some(Closure::BodyStalled),
+            WHOLE => None,
+            _ if self.order.load(Ordering::Relaxed) == CLOSING
+                && is_over(&self.ordered_ms, CLOSE_TIME) =>
+            {
+                Some(Closure::Evicted)
+            }
+            _ => None,
+        }
+    }
+}
+
+/// All connections of a plane.
+#[derive(Debug, Default)]
+pub struct Connections {
+    open: Mutex<Vec<Arc<Connection>>>,
+}
+
+/// Place of a connection among those of its plane; a drop frees it.
+#[derive(Debug)]
+pub struct Slot {
+    connections: Arc<Connections>,
+    /// The connection.
+    pub connection: Arc<Connection>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut open = self.connections.open.lock();
+        let index = open
+            .iter()
+            .position(|known| Arc::ptr_eq(known, &self.connection));
+        if let Some(index) = index {
+            open.swap_remove(index);
+        }
+    }
+}
+
+impl Connections {
+    /// Admits a connection. If there are `max` already, the longest idle one is closed, else the one
+    /// whose unfinished request made no progress longest; if all are in use, the new one.
+    ///
+    /// # Errors
+    ///
+    /// If the new one is not admitted.
+    pub fn admit(self: &Arc<Self>, max: usize) -> Result<(Slot, Option<Closure>), Closure> {
+        let mut open = self.open.lock();
+        let mut closure = None;
+        if open.len() >= max {
+            let is_closing = open.len() >= max + max / CLOSING_DIVISOR;
+            let victim = find_victim(&open).filter(|_| !is_closing);
+            let victim = victim.ok_or(Closure::Unaccepted)?;
+            let is_idle = victim.phase() == IDLE;
+            victim.order(if is_idle { CLOSING } else { CUT });
+            closure = Some(Closure::Evicted);
+        }
+        let connection = Arc::new(Connection::default());
+        connection.enter(IDLE);
+        open.push(connection.clone());
+        let slot = Slot {
+            connections: self.clone(),
+            connection,
+        };
+        Ok((slot, closure))
+    }
+
+    /// Closes the connections that have broken a bound; returns why, for each.
+    pub fn sweep(&self, bounds: &Bounds) -> Vec<Closure> {
+        let now = now_ms();
+        let mut closures = Vec::new();
+        for connection in &*self.open.lock() {
+            let is_cut = connection.order.load(Ordering::Relaxed) == CUT;
+            if let Some(closure) = connection.overdue(bounds, now).filter(|_| !is_cut) {
+                connection.order(CUT);
+                closures.push(closure);
+            }
+        }
+        closures
+    }
+}
+
+fn find_victim(open: &[Arc<Connection>]) -> Option<&Arc<Connection>> {
+    let usable = open
+        .iter()
+        .filter(|known| known.phase() != WHOLE && known.order.load(Ordering::Relaxed) == OPEN);
+    usable.min_by_key(|known| {
+        let since = known.since_ms.load(Ordering::Relaxed);
+        (known.phase() != IDLE, since)
+    })
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn now_ms() -> u64 {
+    millis(clock::now())
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fleet;
 pub mod http;
 mod incarnation;
+pub mod ingress;
 pub mod instance;
 pub mod lease;
 pub mod limit;
--- a/crates/router/src/mirror.rs
+++ b/crates/router/src/mirror.rs
@@ -391,3 +391,14 @@
         Bytes::from(serde_json::to_vec(self).unwrap_or_default())
     }
 }
+
+/// Copies of all rows of the table that this project reads.
+#[derive(Debug, Default)]
+pub struct Mirrors {
+    /// Rows that operators write.
+    pub operator: Mirror,
+    /// Rows that endpoints write.
+    pub endpoints: Mirror,
+    /// Rows that instances write.
+    pub instances: Mirror,
+}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -63,11 +63,15 @@
         Endpoint,
         Registration, //
     },
+    ingress::{
+        Ingress,
+        Machine, //
+    },
     instance,
     lease,
     limit,
     mirror::{
-        Mirror,
+        Mirrors,
         State, //
     },
     observed,
@@ -92,17 +96,6 @@
 /// Maximum number of beliefs about cached prefix levels, of 16 bytes each.
 const MAX_BELIEFS: usize = 1 << 15;
 
-/// Copies of all rows of the table that this project reads.
-#[derive(Debug, Default)]
-pub struct Mirrors {
-    /// Rows that operators write.
-    pub operator: Mirror,
-    /// Rows that endpoints write.
-    pub endpoints: Mirror,
-    /// Rows that instances write.
-    pub instances: Mirror,
-}
-
 /// State shared by the planes and tasks of one instance.
 #[derive(Debug)]
 pub struct Node<P> {
@@ -156,6 +149,8 @@
     pub limits: limit::Table,
     /// Bulkheads of brittle endpoints, from which this instance grants to others and itself.
     pub bulkheads: Arc<bulkhead::Table>,
+    /// What callers may make this instance hold.
+    pub ingress: Ingress,
     /// Segments of prompts that crash engines.
     pub quarantine: Arc<quarantine::Table>,
     /// Placement of model requests, by this or another instance.
@@ -203,6 +198,7 @@
     /// If the datagram socket cannot be bound or the metrics cannot be registered.
     pub fn new(config: Config) -> anyhow::Result<Self> {
         let started_at = clock::now();
+        let machine = Machine::new(config.memory_mb, config.max_fds);
         Ok(Self {
             started_at,
             incarnation: rand::random(),
@@ -213,7 +209,7 @@
             rollouts_changed: Notify::new(),
             endpoints: Endpoints::new(started_at),
             members: instance::Table::default(),
-            pool: Arc::new(Pool::new(P::id_header())),
+            pool: Arc::new(Pool::new(P::id_header(), machine.answer_bytes())),
             paths: Arc::default(),
             avoided_relays: relay::Avoided::default(),
             relayed: Arc::new(Semaphore::new(relay::MAX_RELAYED as usize)),
@@ -226,6 +222,7 @@
             quotas: Arc::default(),
             limits: limit::Table::default(),
             bulkheads: Arc::default(),
+            ingress: Ingress::new(machine),
             quarantine: Arc::default(),
             planner: planner::State::default(),
             builds: builds::Table::default(),
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -26,11 +26,17 @@
 use crate::{
     admit,
     buffered,
+    catalog::Limits,
     directory,
     http::{
         Body,
         Service, //
     },
+    ingress::{
+        Bounds,
+        Closure,
+        Connection, //
+    },
     node::Node,
     origin,
     peer,
@@ -51,6 +57,23 @@
 /// plane.
 const INTERNAL_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Bytes of a head beyond the limit of the configuration, which may not count the request line.
+const REQUEST_LINE_BYTES: usize = 1 << 10;
+/// Largest head on the planes other than the caller plane, in bytes.
+const INTERNAL_HEAD_BYTES: usize = 16 << 10;
+/// Longest time for such a head.
+const INTERNAL_HEAD_TIME: Duration = Duration::from_secs(10);
+
+/// Bounds of the planes other than the caller plane.
+fn internal_bounds(connections: usize) -> Bounds {
+    Bounds {
+        head_bytes: INTERNAL_HEAD_BYTES,
+        head_time: INTERNAL_HEAD_TIME,
+        idle_time: INTERNAL_HEAD_TIMEOUT,
+        connections,
+    }
+}
+
 /// Caller plane: requests to endpoints.
 #[derive(Debug)]
 pub struct Callers<P>(pub Arc<Node<P>>);
@@ -68,9 +91,15 @@
 pub struct Peers<P>(pub Arc<Node<P>>);
 
 impl<P: Protocol> Callers<P> {
+    fn limits(&self) -> Limits {
+        let catalog = self.0.catalog.load();
+        catalog.as_ref().map(|c| c.limits).unwrap_or_default()
+    }
+
     async fn serve(
         &self,
         request: Request<Incoming>,
+        connection: &Connection,
         id: &mut Option<HeaderValue>,
     ) -> Result<Response<Body>, Refusal> {
         let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
@@ -85,7 +114,7 @@
         *id = Some(head.id.clone());
         let request = Request::from_parts(parts, body);
         let admission = tokio::select! {
-            admission = admit::accept(&self.0, head, request) => admission,
+            admission = admit::accept(&self.0, head, request, connection) => admission,
             () = self.0.stop.over() => Err(stop::refusal()),
         }?;
         let arrived_at = admission.call.arrived_at;
@@ -152,18 +181,39 @@
 
 impl<P: Protocol> Service for Callers<P> {
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        self.answer_on(request, &Connection::default()).await
+    }
+
+    async fn answer_on(
+        &self,
+        request: Request<Incoming>,
+        connection: &Connection,
+    ) -> Response<Body> {
         let arrived_at = Instant::now();
         let mut id = None;
-        match self.serve(request, &mut id).await {
+        match self.serve(request, connection, &mut id).await {
             Ok(response) => response,
             Err(refusal) => self.refuse(&refusal, id.as_ref(), arrived_at),
         }
     }
 
+    fn bounds(&self) -> Bounds {
+        let limits = self.limits();
+        let head_bytes = limits.max_header_bytes.saturating_add(REQUEST_LINE_BYTES);
+        Bounds {
+            head_bytes,
+            head_time: limits.header_timeout,
+            idle_time: limits.idle_timeout,
+            connections: self.0.ingress.machine.caller_connections(head_bytes),
+        }
+    }
+
+    fn count_closure(&self, closure: Closure) {
+        self.0.metrics.count_closure("callers", closure.as_str());
+    }
+
     fn head_timeout(&self) -> Duration {
-        let catalog = self.0.catalog.load();
-        let limits = catalog.as_ref().map(|c| c.limits).unwrap_or_default();
-        limits.idle_timeout
+        self.limits().idle_timeout
     }
 
     fn closes_connections(&self) -> bool {
@@ -200,6 +250,14 @@
         json(P::lookup_response(&addresses, directory::ttl(&self.0)))
     }
 
+    fn bounds(&self) -> Bounds {
+        internal_bounds(self.0.ingress.machine.directory_connections())
+    }
+
+    fn count_closure(&self, closure: Closure) {
+        self.0.metrics.count_closure("directory", closure.as_str());
+    }
+
     fn head_timeout(&self) -> Duration {
         INTERNAL_HEAD_TIMEOUT
     }
@@ -231,6 +289,14 @@
         }
     }
 
+    fn bounds(&self) -> Bounds {
+        internal_bounds(self.0.ingress.machine.probe_connections())
+    }
+
+    fn count_closure(&self, closure: Closure) {
+        self.0.metrics.count_closure("probes", closure.as_str());
+    }
+
     fn head_timeout(&self) -> Duration {
         INTERNAL_HEAD_TIMEOUT
     }
@@ -265,6 +331,14 @@
         }
     }
 
+    fn bounds(&self) -> Bounds {
+        internal_bounds(self.0.ingress.machine.peer_connections())
+    }
+
+    fn count_closure(&self, closure: Closure) {
+        self.0.metrics.count_closure("peers", closure.as_str());
+    }
+
     fn head_timeout(&self) -> Duration {
         INTERNAL_HEAD_TIMEOUT
     }
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -36,6 +36,8 @@
     BodyTooLarge,
     /// The body did not arrive before the deadline of the request.
     BodyTimeout,
+    /// The bodies of requests in progress take all memory meant for them.
+    MemoryExhausted,
     /// The key is missing or unknown.
     KeyUnknown,
     /// No route matches the host and path.
@@ -70,6 +72,7 @@
             Reason::Malformed => "malformed",
             Reason::BodyTooLarge => "body_too_large",
             Reason::BodyTimeout => "body_timeout",
+            Reason::MemoryExhausted => "memory_exhausted",
             Reason::KeyUnknown => "key_unknown",
             Reason::NoRoute => "no_route",
             Reason::NotReady => "not_ready",
@@ -144,6 +147,7 @@
             Reason::NoRoute => StatusCode::NOT_FOUND,
             Reason::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Reason::NotReady
+            | Reason::MemoryExhausted
             | Reason::NoEndpoint
             | Reason::Overloaded
             | Reason::DeadlineExceeded
@@ -157,6 +161,7 @@
             }
             Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
             Reason::NotReady
+            | Reason::MemoryExhausted
             | Reason::NoEndpoint
             | Reason::Overloaded
             | Reason::OriginUnknown
--- a/crates/router/src/relay/serve.rs
+++ b/crates/router/src/relay/serve.rs
@@ -49,7 +49,10 @@
 };
 use crate::{
     fleet::Endpoint,
-    http::Body,
+    http::{
+        Body,
+        Observed, //
+    },
     node::Node,
     protocol::Protocol, //
 };
@@ -138,10 +141,10 @@
             return;
         }
     };
-    let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() else {
+    let Ok(parts) = upgraded.downcast::<TokioIo<Observed>>() else {
         return;
     };
-    let taker = parts.io.into_inner();
+    let taker = parts.io.into_inner().into_inner();
     if let Err(reason) = copy(taker, endpoint, &parts.read_buf).await {
         // The other instance sees that the connection ends without its last frame.
         emit!(debug, event::CONNECTION_FAULT, reason = %reason);
--- a/crates/router/src/states.rs
+++ b/crates/router/src/states.rs
@@ -17,6 +17,7 @@
             metrics.set_state("weights_wanted", &rollout.model, rollout.version);
         }
         metrics.set_state("quarantined_segments", "", self.quarantine.len() as u64);
+        metrics.set_state("body_bytes", "", self.ingress.bodies.held() as u64);
         let lease = self.lease.check(Duration::ZERO);
         metrics.set_state("lease_number", "", lease.map_or(0, |grant| grant.number));
         metrics.set_state("hub", "", u64::from(self.hub_rank().is_some()));
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -166,6 +166,10 @@
     LIMIT_OWNER_SILENT = 504;
     /// This instance owns a workspace's limit from now on.
     LIMIT_OWNED = 505;
+    /// A connection was closed because of the bounds for callers; the reason names the bound.
+    CONNECTION_CLOSED = 510;
+    /// Bounds for callers, from the memory and the descriptors of the machine.
+    CALLER_BOUNDS = 511;
     /// The lease for control work could not be read or renewed.
     LEASE_FAULT = 600;
     /// The copy of the settings in the object store could not be read or written.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -51,6 +51,7 @@
     event_gap: Histogram<f64>,
     table_calls: Counter<u64>,
     table_restores: Counter<u64>,
+    closures: Counter<u64>,
     states: Gauge<u64>,
     workspace_labels: Mutex<BTreeSet<String>>,
     // Keeps the instruments alive.
@@ -126,6 +127,10 @@
                 .u64_counter("damask_table_restores")
                 .with_description("restores of the platform's table from an older copy")
                 .build(),
+            closures: meter
+                .u64_counter("damask_closed_connections")
+                .with_description("connections closed because of the bounds for callers")
+                .build(),
             states: meter
                 .u64_gauge("damask_state")
                 .with_description("what this instance believes")
@@ -200,6 +205,15 @@
         self.table_restores.add(1, &[]);
     }
 
+    /// Counts a connection that was closed because of the bounds of its plane.
+    pub fn count_closure(&self, plane: &'static str, reason: &'static str) {
+        let labels = [
+            KeyValue::new("plane", plane),
+            KeyValue::new("reason", reason),
+        ];
+        self.closures.add(1, &labels);
+    }
+
     /// Sets the gauge of this instance's state: the value of `name` for the object `of`.
     pub fn set_state(&self, name: &'static str, of: &str, value: u64) {
         let labels = [
