--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -64,6 +64,8 @@
 
 /// Interval at which connections without progress are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of late looks in a row that are left out; more of them come from load.
+const MAX_LATE_TICKS: u32 = 2;
 /// Shortest time between two lines of the log about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest buffer of a connection, in bytes; hyper takes no smaller one.
@@ -86,14 +88,16 @@
     };
     let mut sweep = interval(SWEEP_INTERVAL);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut swept_at = Instant::now();
+    let (mut swept_at, mut late_ticks) = (Instant::now(), 0);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
             _ = sweep.tick() => {
                 // What has arrived is not read yet if this process was held up.
-                if swept_at.elapsed() < SWEEP_INTERVAL * 3 / 2 {
+                let is_late = swept_at.elapsed() >= SWEEP_INTERVAL * 3 / 2;
+                late_ticks = if is_late { late_ticks + 1 } else { 0 };
+                if !is_late || late_ticks > MAX_LATE_TICKS {
                     plane.sweep();
                 }
                 swept_at = Instant::now();
