Bodies of requests take two fifths of the memory beyond 60 MB

Growing buffers take about twice what the account counts, so that half of the memory beyond 56 MB could exceed the smallest machine together with heads, answers and a busy process. Large heads no longer leave too few connections, and a bound of few connections closes an idle one before it refuses.

--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -226,7 +226,7 @@
         let mut open = self.open.lock();
         let mut closure = None;
         if open.len() >= max {
-            let is_closing = open.len() >= max + max / CLOSING_DIVISOR;
+            let is_closing = open.len() >= max + (max / CLOSING_DIVISOR).max(1);
             let victim = find_victim(&open).filter(|_| !is_closing);
             let victim = victim.ok_or(Closure::Unaccepted)?;
             let is_idle = victim.phase() == IDLE;
--- a/crates/router/src/ingress/machine.rs
+++ b/crates/router/src/ingress/machine.rs
@@ -8,7 +8,10 @@
 };
 
 /// Memory that a busy instance takes besides bodies and heads of requests and answers, in bytes.
-const PROCESS_BYTES: usize = 56_000_000;
+const PROCESS_BYTES: usize = 60_000_000;
+/// Share of the rest that bodies are counted up to, as numerator and denominator. Buffers that grow take
+/// about twice as much from the system (measured).
+const BODY_SHARE: (usize, usize) = (2, 5);
 /// Memory for bodies in any case, in bytes: a few of the usual largest size.
 const MIN_BODY_BYTES: usize = 16 << 20;
 /// Share of the memory for heads and what connections buffer, as a divisor.
@@ -25,6 +28,8 @@
 
 /// Descriptors that files may take.
 const FILE_DESCRIPTORS: usize = 200;
+/// Connections of callers that memory is left for however large heads may be: few are.
+const MIN_CALLER_CONNECTIONS: usize = 256;
 /// Fewest connections of any plane.
 const MIN_CONNECTIONS: usize = 8;
 
@@ -51,7 +56,9 @@
 
     /// Bytes that bodies of requests in progress may take together.
     pub fn body_bytes(&self) -> usize {
-        (self.memory.saturating_sub(PROCESS_BYTES) / 2).max(MIN_BODY_BYTES)
+        let (share, of) = BODY_SHARE;
+        let rest = self.memory.saturating_sub(PROCESS_BYTES);
+        (rest / of * share).max(MIN_BODY_BYTES)
     }
 
     /// Bytes that large answers of endpoints may take together.
@@ -63,6 +70,7 @@
     /// connections as callers.
     pub fn caller_connections(&self, head_bytes: usize) -> usize {
         let by_memory = self.memory / HEAD_DIVISOR / head_bytes.max(1);
+        let by_memory = by_memory.max(MIN_CALLER_CONNECTIONS);
         by_memory.min(self.sockets(3, 8))
     }
 
