--- a/crates/damaskd/src/config.rs
+++ b/crates/damaskd/src/config.rs
@@ -135,6 +135,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lease_term_ms")]
     pub lease_term: Duration,
+    /// Memory of the machine, in megabytes; asked of the system if missing.
+    pub memory_mb: Option<f64>,
+    /// Descriptors that the process may open, 200 of them for files; asked of the system if missing.
+    pub max_fds: Option<f64>,
     /// Timeout for running requests to finish after SIGTERM and `stop_grace`, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "drain_timeout_ms")]
@@ -160,11 +164,16 @@
             reports_per_second: 4,
             workers: 4,
             lease_term: Duration::from_secs(8),
+            memory_mb: None,
+            max_fds: None,
             drain_timeout: Duration::from_secs(600),
         }
     }
 }
 
+/// Largest memory or number of descriptors that may be set.
+const MAX_NUMBER: f64 = 1e12;
+
 impl Config {
     /// Reads and checks a settings file.
     ///
@@ -208,6 +217,14 @@
         if !(1..=60).contains(&self.limits.claim_batch) {
             bail!("limits.claim_batch must be from 1 to 60, the table's bound on a transaction");
         }
+        for (name, number) in [
+            ("memory_mb", self.limits.memory_mb),
+            ("max_fds", self.limits.max_fds),
+        ] {
+            if number.is_some_and(|number| !(1.0..=MAX_NUMBER).contains(&number)) {
+                bail!("limits.{name} must be from 1 to {MAX_NUMBER}");
+            }
+        }
         if self.limits.max_beliefs == 0 {
             bail!("limits.max_beliefs is 0; use 1 or more");
         }
--- a/crates/damaskd/src/node.rs
+++ b/crates/damaskd/src/node.rs
@@ -146,6 +146,7 @@
     pub fn new(config: Config, addresses: Addresses, strategy: Strategy) -> anyhow::Result<Self> {
         let client = platform::http::Client::new(config.limits.platform_timeout);
         let table = table::Remote::new(config.platform.table, client.clone());
+        let machine = Machine::new(config.limits.memory_mb, config.limits.max_fds);
         Ok(Self {
             claims: Arc::new(Claims::start(&table, config.limits.claim_batch)),
             addresses,
@@ -156,7 +157,7 @@
             withdrawals: withdrawal::Set::default(),
             members: member::Table::default(),
             pool: Arc::default(),
-            ingress: Ingress::new(Machine::new(None, None)),
+            ingress: Ingress::new(machine),
             queues: Arc::default(),
             rights: Rights::default(),
             freshness: freshness::Table::default(),
