--- a/crates/router/tests/ingress.rs
+++ b/crates/router/tests/ingress.rs
@@ -1,7 +1,5 @@
 //! Bounds for what callers may take.
 
-#![expect(clippy::unwrap_used, reason = "a failed test may panic")]
-
 use std::{
     sync::Arc,
     time::Duration, //
