--- a/crates/damaskd/src/node.rs
+++ b/crates/damaskd/src/node.rs
@@ -23,6 +23,14 @@
     table, //
 };
 use policy::choice::Strategy;
+use router::{
+    http::MAX_HEAD_BYTES,
+    ingress::{
+        Bounds,
+        Ingress,
+        Machine, //
+    }, //
+};
 use state::{
     belief,
     delta,
@@ -92,6 +100,8 @@
     pub members: member::Table,
     /// Connections to endpoints.
     pub pool: Arc<Pool>,
+    /// What callers may make this instance hold.
+    pub ingress: Ingress,
     /// Claims of requests that may run at most once.
     pub claims: Arc<Claims>,
     /// Requests that run or wait for capacity.
@@ -136,6 +146,7 @@
     pub fn new(config: Config, addresses: Addresses, strategy: Strategy) -> anyhow::Result<Self> {
         let client = platform::http::Client::new(config.limits.platform_timeout);
         let table = table::Remote::new(config.platform.table, client.clone());
+        let machine = Machine::new(config.limits.memory_mb, config.limits.max_fds);
         Ok(Self {
             claims: Arc::new(Claims::start(&table, config.limits.claim_batch)),
             addresses,
@@ -146,6 +157,7 @@
             withdrawals: withdrawal::Set::default(),
             members: member::Table::default(),
             pool: Arc::default(),
+            ingress: Ingress::new(machine),
             queues: Arc::default(),
             rights: Rights::default(),
             freshness: freshness::Table::default(),
@@ -167,6 +179,17 @@
         })
     }
 
+    /// Bounds for the connections of a plane that may have this many.
+    pub fn bounds(&self, connections: usize) -> Bounds {
+        let limits = &self.config.limits;
+        Bounds {
+            head_bytes: MAX_HEAD_BYTES,
+            head_time: limits.head_timeout,
+            idle_time: limits.body_timeout,
+            connections,
+        }
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
