--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cell;
 pub mod choice;
 pub mod delay;
+pub mod exposure;
 pub mod fair;
 pub mod freshness;
 pub mod hub;
