Rollouts: judge versions within slices of time and routes

Failures are compared by a Chernoff bound, times by a stratified rank test, both over the last slices, so that badness that begins late is not diluted.

--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -33,7 +33,8 @@
     stage::{
         Progress,
         Stage,
-        endpoints, //
+        endpoints,
+        first_endpoint, //
     },
     trend::Trend, //
 };
--- a/crates/policy/src/exposure/evidence.rs
+++ b/crates/policy/src/exposure/evidence.rs
@@ -120,7 +120,7 @@
         Some(&self.routes[index].1)
     }
 
-    fn find(&self, route: &str) -> Result<usize, usize> {
+    pub(super) fn find(&self, route: &str) -> Result<usize, usize> {
         self.routes
             .binary_search_by(|(known, _)| (**known).cmp(route))
     }
--- a/crates/policy/src/exposure/judge.rs
+++ b/crates/policy/src/exposure/judge.rs
@@ -1,6 +1,86 @@
 //! Comparison of a new version with the old one.
+//!
+//! Versions are compared within strata, the responses of one route in one slice of time, so that
+//! neither a burst that both versions meet nor another mix of routes looks like a difference between
+//! them. The sums over the strata of the last slices are tested, for several numbers of slices, so that
+//! earlier good responses do not hide a version that turns bad. Every difference must also be spread
+//! over several slices, since one moment of trouble at one endpoint says little of its version.
+//!
+//! All bounds are relative to the old version.
 
-use super::Trend;
+mod excess;
+mod rank;
+
+use self::{
+    excess::Excess,
+    rank::Rank, //
+};
+use super::{
+    Histogram,
+    Pair,
+    Trend,
+    sample::BUCKETS_PER_OCTAVE, //
+};
+
+/// Numbers of last slices that are tested; all of them are tested as well.
+const WINDOWS: [usize; 4] = [4, 8, 16, 32];
+/// Number of slices from which a window is long: the endpoints in use have changed several times.
+const LONG_WINDOW: usize = 16;
+
+/// Part of the old version's responses from which those of the new one come from enough endpoints that
+/// differences between endpoints even out.
+const MANY_FRACTION: f64 = 0.125;
+
+/// Failure rate of the new version that is accepted beside that of the old one.
+const FAILURE_MARGIN: f64 = 0.01;
+/// Factor on the old version's rate of failures, or of late responses, that is accepted: endpoints of
+/// one version differ among each other.
+const RATE_FACTOR: f64 = 1.5;
+/// Rate of late responses of the new version that is accepted beside that of the old one: a version
+/// that is exactly twice as slow has a tenth.
+const LATE_MARGIN: f64 = 0.05;
+/// Fraction of the old version's responses that are slower than the time whose double is late.
+const LATE_FRACTION: f64 = 0.1;
+/// Rate of failures beyond that of the old version that must be excluded for a version to be good.
+const BAD_RATE: f64 = 0.15;
+
+/// Difference in buckets from which a response is late, and a version is slow over a long window:
+/// twice.
+const SLOW_BUCKETS: u8 = BUCKETS_PER_OCTAVE;
+/// Difference in buckets from which a version is slow over a short window: 2.4 times. The few endpoints
+/// in use then may be the slowest ones; over a long window they change.
+const VERY_SLOW_BUCKETS: u8 = BUCKETS_PER_OCTAVE * 5 / 4;
+/// Difference in buckets that must be excluded for a version to be good: 2.8 times.
+const BAD_BUCKETS: u8 = BUCKETS_PER_OCTAVE * 3 / 2;
+
+/// Number of responses of the old version to which the overall rate counts as much as the rate within
+/// a stratum.
+const PRIOR_COUNT: f64 = 4.0;
+/// Number of responses of the old version on a route from which the new one can be judged there.
+const MIN_OLD: u32 = 5;
+/// A route must be good by itself if it has one in so many of the old version's responses.
+const MAJOR_FRACTION: u32 = 20;
+
+/// Natural logarithm of the bound on the chance of a false alarm of one test. Some hundred tests, most
+/// of which see nearly the same responses, are made in one order.
+const ALARM_EXPONENT: f64 = 7.5;
+/// The same in standard deviations, for ranks.
+const ALARM_DEVIATIONS: f64 = 3.5;
+/// The same as [`ALARM_EXPONENT`] for the chance that a version is called good too early, which has
+/// no consequence that cannot be undone.
+const GOOD_EXPONENT: f64 = 3.0;
+/// The same in standard deviations.
+const GOOD_DEVIATIONS: f64 = 2.0;
+/// Deviations from zero of the sum over slices if each of them is one observation: two slices that
+/// agree have 1.4. Failures of one moment must not suffice.
+const FAILURE_SPREAD: f64 = 1.4;
+/// The same for ranks, nearly three slices that agree: an engine may be slow for 600 ms.
+const SLOW_SPREAD: f64 = 1.6;
+/// The same for late responses, over six slices that agree: engines are slow now and then.
+const LATE_SPREAD: f64 = 2.5;
+/// Chance from which a response of the new version takes more than twice the time of one of the
+/// old version makes it slow, however many were counted.
+const SLOW_CHANCE: f64 = 0.52;
 
 /// What is known of a new version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -15,6 +95,240 @@
 }
 
 /// Judges the new version by all evidence and by the recent parts of it.
-pub fn judge(_trend: &Trend) -> Verdict {
-    Verdict::Unknown
+pub fn judge(trend: &Trend) -> Verdict {
+    let mut overall = Comparison::default();
+    let mut routes: Vec<Route> = trend
+        .total()
+        .routes()
+        .iter()
+        .map(|(_, pair)| Route::new(pair))
+        .collect();
+    let slices = trend.slices();
+    for (index, slice) in slices.iter().rev().enumerate() {
+        let mut all = Stratum::default();
+        for (name, pair) in slice.routes() {
+            let found = trend.total().find(name);
+            if let Some(route) = found.ok().and_then(|index| routes.get_mut(index)) {
+                let stratum = route.basis.stratum(pair);
+                route.comparison.add(&stratum);
+                all.add(&stratum);
+            }
+        }
+        overall.add(&all);
+        let count = index + 1;
+        let is_window = WINDOWS.contains(&count) || count == slices.len();
+        if !is_window {
+            continue;
+        }
+        if std::env::var("DBG").is_ok() {
+            let o = &overall.sum;
+            println!(
+                "  w{count} fail {:.1}/{:.1} late {:.1}/{:.1} slow z{:.1} s{:.1} c{:.2} very z{:.1} s{:.1} c{:.2}",
+                o.failures.exponent(),
+                o.failures.spread(),
+                o.late.exponent(),
+                o.late.spread(),
+                o.slow.deviations(),
+                o.slow.spread(),
+                o.slow.chance(),
+                o.very_slow.deviations(),
+                o.very_slow.spread(),
+                o.very_slow.chance()
+            );
+        }
+        if overall.is_bad(count) || routes.iter().any(|route| route.is_bad(count)) {
+            return Verdict::Bad;
+        }
+    }
+    let old: u32 = routes.iter().map(|route| route.basis.answers).sum();
+    let is_major = |route: &&Route| route.basis.answers > old / MAJOR_FRACTION;
+    let are_good = routes.iter().filter(is_major).all(Route::is_good);
+    if overall.is_good() && are_good {
+        Verdict::Good
+    } else {
+        Verdict::Unknown
+    }
+}
+
+/// What the old version does on a route.
+#[derive(Clone, Copy, Debug)]
+struct Basis {
+    answers: u32,
+    /// Rate of failures.
+    failures: f64,
+    /// Last bucket that is not late.
+    late_bucket: u8,
+    /// Rate of responses that are late nevertheless.
+    late: f64,
+}
+
+impl Basis {
+    fn new(old: &super::Sample) -> Self {
+        let times = f64::from(old.times.len());
+        let late_bucket = old
+            .times
+            .upper_bucket(LATE_FRACTION)
+            .saturating_add(SLOW_BUCKETS);
+        Self {
+            answers: old.answers,
+            failures: smoothed(f64::from(old.failures), f64::from(old.answers)),
+            late_bucket,
+            late: smoothed(old.times.above(late_bucket), times),
+        }
+    }
+
+    fn stratum(&self, pair: &Pair) -> Stratum {
+        let (old, new) = (&pair.old, &pair.new);
+        let failures = Rate {
+            observed: f64::from(old.failures),
+            count: f64::from(old.answers),
+        };
+        let late = Rate {
+            observed: old.times.above(self.late_bucket),
+            count: f64::from(old.times.len()),
+        };
+        let answers = f64::from(new.answers);
+        let times = f64::from(new.times.len());
+        let expected = failures.near(self.failures);
+        Stratum {
+            old: failures.count,
+            failures: Excess::single(
+                answers,
+                f64::from(new.failures),
+                answers * (FAILURE_MARGIN + RATE_FACTOR * expected),
+            ),
+            late: Excess::single(
+                times,
+                new.times.above(self.late_bucket),
+                times * (LATE_MARGIN + RATE_FACTOR * late.near(self.late)),
+            ),
+            lack: Excess::single(
+                answers,
+                f64::from(new.failures),
+                answers * (BAD_RATE + expected),
+            ),
+            slow: rank(&old.times, &new.times, SLOW_BUCKETS),
+            very_slow: rank(&old.times, &new.times, VERY_SLOW_BUCKETS),
+            bad: rank(&old.times, &new.times, BAD_BUCKETS),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    observed: f64,
+    count: f64,
+}
+
+impl Rate {
+    /// The rate, drawn to `overall` the more the fewer were counted.
+    fn near(self, overall: f64) -> f64 {
+        (self.observed + PRIOR_COUNT * overall) / (self.count + PRIOR_COUNT)
+    }
+}
+
+fn smoothed(observed: f64, count: f64) -> f64 {
+    (observed + 0.5) / (count + 1.0)
+}
+
+fn rank(old: &Histogram, new: &Histogram, buckets: u8) -> Rank {
+    Rank::new(old.counts(), new.counts(), buckets)
+}
+
+/// Differences within one slice of time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stratum {
+    old: f64,
+    failures: Excess,
+    late: Excess,
+    lack: Excess,
+    slow: Rank,
+    very_slow: Rank,
+    bad: Rank,
+}
+
+impl Stratum {
+    /// Adds another route of the same slice.
+    fn add(&mut self, other: &Self) {
+        self.old += other.old;
+        self.failures.join(&other.failures);
+        self.late.join(&other.late);
+        self.lack.join(&other.lack);
+        self.slow.join(&other.slow);
+        self.very_slow.join(&other.very_slow);
+        self.bad.join(&other.bad);
+    }
+}
+
+/// Sums over slices.
+#[derive(Clone, Copy, Debug, Default)]
+struct Comparison {
+    sum: Stratum,
+    /// Responses of the old version.
+    old: f64,
+}
+
+impl Comparison {
+    fn add(&mut self, slice: &Stratum) {
+        self.old += slice.old;
+        self.sum.failures.add(&slice.failures);
+        self.sum.late.add(&slice.late);
+        self.sum.lack.add(&slice.lack);
+        self.sum.slow.add(&slice.slow);
+        self.sum.very_slow.add(&slice.very_slow);
+        self.sum.bad.add(&slice.bad);
+    }
+
+    /// Whether the last `slices`, which are added up here, show a bad version.
+    fn is_bad(&self, slices: usize) -> bool {
+        let Stratum {
+            failures,
+            late,
+            slow,
+            very_slow,
+            ..
+        } = &self.sum;
+        if failures.exponent() >= ALARM_EXPONENT && failures.spread() >= FAILURE_SPREAD {
+            return true;
+        }
+        let is_wide = slices >= LONG_WINDOW || failures.count() >= self.old * MANY_FRACTION;
+        if !is_wide {
+            return is_slow(very_slow);
+        }
+        let is_late =
+            slices >= 32 && late.exponent() >= ALARM_EXPONENT && late.spread() >= LATE_SPREAD;
+        is_late || is_slow(very_slow) || is_slow(slow)
+    }
+
+    fn is_good(&self) -> bool {
+        self.sum.lack.exponent() <= -GOOD_EXPONENT && self.sum.bad.deviations() <= -GOOD_DEVIATIONS
+    }
+}
+
+fn is_slow(rank: &Rank) -> bool {
+    rank.deviations() >= ALARM_DEVIATIONS
+        && rank.spread() >= SLOW_SPREAD
+        && rank.chance() >= SLOW_CHANCE
+}
+
+struct Route {
+    basis: Basis,
+    comparison: Comparison,
+}
+
+impl Route {
+    fn new(pair: &Pair) -> Self {
+        Self {
+            basis: Basis::new(&pair.old),
+            comparison: Comparison::default(),
+        }
+    }
+
+    fn is_bad(&self, slices: usize) -> bool {
+        self.basis.answers >= MIN_OLD && self.comparison.is_bad(slices)
+    }
+
+    fn is_good(&self) -> bool {
+        self.comparison.is_good()
+    }
 }
--- a/crates/policy/src/exposure/sample.rs
+++ b/crates/policy/src/exposure/sample.rs
@@ -43,6 +43,24 @@
         &self.counts
     }
 
+    /// Number of times in buckets above `bucket`.
+    pub(super) fn above(&self, bucket: u8) -> f64 {
+        let above = self.counts.iter().rev().take_while(|(b, _)| *b > bucket);
+        above.map(|(_, count)| f64::from(*count)).sum()
+    }
+
+    /// The lowest bucket above which at most `fraction` of the times are.
+    pub(super) fn upper_bucket(&self, fraction: f64) -> u8 {
+        let mut left = f64::from(self.len()) * fraction;
+        for (bucket, count) in self.counts.iter().rev() {
+            left -= f64::from(*count);
+            if left < 0.0 {
+                return *bucket;
+            }
+        }
+        0
+    }
+
     /// Adds the times of `other`.
     pub(super) fn merge(&mut self, other: &Self) {
         for (bucket, count) in &other.counts {
