--- a/crates/policy/src/exposure/stage.rs
+++ b/crates/policy/src/exposure/stage.rs
@@ -26,7 +26,7 @@
 const STEP_SHARES: [f64; 3] = [1.5, 3.0, 5.8];
 
 /// Number of terms within the order's time after which other endpoints are used.
-const TERMS: f64 = 12.0;
+const TERMS: f64 = 20.0;
 /// Shortest term: an endpoint sees its load only once as many requests run there as end.
 const MIN_TERM: Duration = Duration::from_secs(2);
 
