Settings: bounds of versions on trial

Cause: a rollout of a service's version needs the share of requests that a bad version may get, and the time after which it must get none; the deployment provides both. Change: bounds.expose_share, bounds.expose_slack and bounds.rollback_ms, optional with the defaults 0.1, 50 and 5000, checked like the others.

--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -25,6 +25,12 @@
 
 /// Default of `weights_all_ms`, as a multiple of `weights_ms`.
 const DEFAULT_WEIGHTS_ALL_RATIO: f64 = 1.5;
+/// Default of `expose_share`.
+const DEFAULT_EXPOSE_SHARE: f64 = 0.1;
+/// Default of `expose_slack`.
+const DEFAULT_EXPOSE_SLACK: f64 = 50.0;
+/// Default of `rollback_ms`.
+const DEFAULT_ROLLBACK: Duration = Duration::from_secs(5);
 
 /// Longest time that may be set.
 const MAX_TIME: Duration = Duration::from_secs(30 * 24 * 60 * 60);
@@ -145,6 +151,30 @@
     #[serde_as(as = "DurationSeconds<u64>")]
     #[serde(rename = "address_ttl_s")]
     pub address_ttl: Duration,
+    /// Share of a service's requests since an order that may go to the ordered version while it is
+    /// not known to be good, over all instances.
+    #[serde(default = "default_expose_share")]
+    pub expose_share: f64,
+    /// Requests to that version that are allowed beyond the share, over all instances.
+    #[serde(default = "default_expose_slack")]
+    pub expose_slack: f64,
+    /// Time after the bad responses of a version have shown that it is bad from which it must get no
+    /// request, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "default_rollback", rename = "rollback_ms")]
+    pub rollback: Duration,
+}
+
+fn default_expose_share() -> f64 {
+    DEFAULT_EXPOSE_SHARE
+}
+
+fn default_expose_slack() -> f64 {
+    DEFAULT_EXPOSE_SLACK
+}
+
+fn default_rollback() -> Duration {
+    DEFAULT_ROLLBACK
 }
 
 impl Bounds {
@@ -181,6 +211,7 @@
             ("weights_all_ms", bounds.weights_all()),
             ("quota_window_s", bounds.quota_window),
             ("address_ttl_s", bounds.address_ttl),
+            ("rollback_ms", bounds.rollback),
         ] {
             if time > MAX_TIME {
                 bail!("bounds.{name} is longer than {MAX_TIME:?}; use a shorter time");
@@ -199,12 +230,16 @@
             ("bounds.retry_slack", bounds.retry_slack),
             ("bounds.quota_over", bounds.quota_over),
             ("bounds.quota_slack", bounds.quota_slack),
+            ("bounds.expose_slack", bounds.expose_slack),
             ("link_mbps", self.link_mbps),
         ] {
             if !(0.0..=MAX_NUMBER).contains(&number) {
                 bail!("{name} must be from 0 to {MAX_NUMBER}");
             }
         }
+        if !(0.0..=1.0).contains(&bounds.expose_share) {
+            bail!("bounds.expose_share must be from 0 to 1");
+        }
         Ok(())
     }
 }
--- a/crates/router/tests/odd_settings.rs
+++ b/crates/router/tests/odd_settings.rs
@@ -51,6 +51,7 @@
         "weights_all_ms",
         "quota_window_s",
         "address_ttl_s",
+        "rollback_ms",
     ] {
         for number in [
             "18446744073709551615",
@@ -72,6 +73,8 @@
         "retry_slack",
         "quota_over",
         "quota_slack",
+        "expose_share",
+        "expose_slack",
         "link_mbps",
     ] {
         for number in ["-1", "1e300", "1e999"] {
