Rollouts: orders of a service's version are executed

Cause: endpoints of a new version got requests as soon as they were registered, however bad the version was, and nothing told operators when the old endpoints might stop. Change: op/rollout/SERVICE is decoded into an order. The holder of the lease moves the order from stage to stage by the reports of all instances, in the row damask/exposure/SERVICE, and writes status/rollout/SERVICE in the same transactions. Each instance bounds its sends to the version on trial, counts the outcomes of both versions, and sends nothing to it once its own observations or the holder's say that it is bad, or once it has not heard of the holder. Versions that have just appeared wait until an order for them would be known.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -29,6 +29,7 @@
         self,
         Selection, //
     },
+    exposure,
     incarnation,
     node::Node,
     protocol::{
@@ -230,6 +231,9 @@
             .await
         {
             selection.record_unreachable(node, &failure.fault);
+            if let Some(track) = &selection.track {
+                track.record_failure(&failure);
+            }
             return Err(failure.to_string());
         }
         if !node.try_charge_retry(&call.service) {
@@ -249,6 +253,7 @@
         self.is_sent = true;
         if self.record.begin() == 1 {
             node.record_first_attempt(&call.service);
+            exposure::record_request(node, &call.service);
         }
         if let Some(trial) = &mut self.trial {
             trial.set_spent(true);
@@ -365,6 +370,9 @@
         failure: &Failure,
     ) {
         self.count_outcome(node, call, failure.verdict.as_str());
+        if let Some(track) = &selection.track {
+            track.record_failure(failure);
+        }
         let name = &selection.endpoint.registration.name;
         emit!(
             warn,
--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -115,6 +115,9 @@
     let result = result.await;
     if let Ok((head, _)) = &result {
         selection.record_first_token(node, call.class());
+        if let Some(track) = &selection.track {
+            track.record_answer(head.status);
+        }
         let run_time = call.arrived_at.elapsed();
         node.observed
             .record_run_time(&call.service, call.class(), run_time);
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -37,6 +37,11 @@
         Permit, //
     },
     config::Choice,
+    exposure::{
+        self,
+        Reservation,
+        Track, //
+    },
     fleet::Endpoint,
     limit,
     message::End,
@@ -91,6 +96,8 @@
     ticket: Option<Ticket>,
     /// Whether the answer has shown that the request does not crash engines.
     pub proof: Proof,
+    /// Counts the outcome, while a version of the service is on trial.
+    pub track: Option<Track>,
     /// Permits the request, if the endpoint is brittle; dropped after `guard`.
     permit: Option<Permit>,
 }
@@ -108,15 +115,39 @@
 ) -> Result<Selection, Refusal> {
     let chain = call.prefix_chain();
     let query = Query::new(call, &chain, tried);
+    let is_resumable = call.route.is_resumable();
+    if let Some(reservation) = exposure::reserve(node, &query, is_resumable) {
+        let ordered = Query {
+            build: Some(reservation.version()),
+            ..query
+        };
+        let chosen = choose_for(node, call, &ordered, must_place, Some(&reservation)).await;
+        if chosen.is_ok() {
+            return chosen;
+        }
+    }
+    choose_for(node, call, &query, must_place, None).await
+}
+
+async fn choose_for<P: Protocol>(
+    node: &Node<P>,
+    call: &Call,
+    query: &Query<'_>,
+    must_place: bool,
+    reservation: Option<&Reservation>,
+) -> Result<Selection, Refusal> {
     loop {
-        let (decision, ticket) = place(node, &query, must_place).await?;
+        let (decision, ticket) = place(node, query, must_place).await?;
         if limit::acquire(node, &decision, query.is_urgent()).await
             && let Ok(permit) = bulkhead::acquire(node, &decision).await
         {
-            return Ok(select(node, call, &query, decision, ticket, permit));
+            let track = Track::begin(node, call, &decision.endpoint, reservation);
+            let mut selection = select(node, call, query, decision, ticket, permit);
+            selection.track = track;
+            return Ok(selection);
         }
         if call.time_left().is_zero() {
-            return Err(no_endpoint(node, &query));
+            return Err(no_endpoint(node, query));
         }
     }
 }
@@ -212,6 +243,7 @@
         levels,
         ticket,
         proof: Proof::default(),
+        track: None,
         permit,
     }
 }
--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -50,6 +50,7 @@
         Catalog,
         Engine, //
     },
+    exposure,
     fleet::Endpoint,
     message::Reasons,
     node::Node,
@@ -184,6 +185,7 @@
     if eligible.iter().any(|e| !e.endpoint.is_loading()) {
         eligible.retain(|e| !e.endpoint.is_loading());
     }
+    exposure::retain_sampled(node, query, &mut eligible);
     let is_recorded = |e: &EligibleEndpoint| {
         let registration = &e.endpoint.registration;
         node.builds.is_recorded(query.service, &registration.build)
@@ -310,6 +312,7 @@
         || registration.leaving
         || query.tried.contains(&registration.name)
         || !query.allows_build(&registration.build)
+        || !exposure::allows(node, query.service, &registration.build, query.build)
     {
         return None;
     }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -28,6 +28,7 @@
     config::Config,
     counted::Counted,
     exchange,
+    exposure,
     http::{
         self,
         Service, //
@@ -115,6 +116,7 @@
         tokio::spawn(peer::bootstrap(node.clone()));
         tokio::spawn(relay::run(node.clone()));
         tokio::spawn(rollout::run(node.clone(), table.clone()));
+        tokio::spawn(exposure::run(node.clone(), table.clone()));
         tokio::spawn(quarantine::run(node.clone(), table.clone()));
         tokio::spawn(origin::run(node.clone(), table.clone()));
         emit!(info, event::STARTED, instance = node.config.name);
--- a/crates/router/src/era.rs
+++ b/crates/router/src/era.rs
@@ -2,8 +2,17 @@
 
 use std::time::Duration;
 
+use policy::rewrite::{
+    self,
+    Writer, //
+};
 use tokio::sync::watch;
 
+use crate::{
+    node::Node,
+    protocol::Protocol, //
+};
+
 /// The latest era in which the table has answered.
 #[derive(Clone, Copy, Debug)]
 struct State {
@@ -82,3 +91,21 @@
         }
     }
 }
+
+impl<P: Protocol> Node<P> {
+    /// Delay after which this instance writes a row again that a restored table lacks and that all
+    /// instances may know; `is_writer` if it wrote the row last.
+    pub fn rewrite_delay(&self, is_writer: bool) -> Duration {
+        let writer = match self.hub_rank() {
+            _ if is_writer => Writer::Last,
+            Some(rank) => Writer::Hub(rank),
+            None => Writer::Other,
+        };
+        rewrite::shared_delay(writer, self.instance_count(), rand::random())
+    }
+
+    /// Delay after which this instance writes its own row again that a restored table lacks.
+    pub fn own_rewrite_delay(&self) -> Duration {
+        rewrite::own_delay(self.instance_count(), rand::random())
+    }
+}
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -38,6 +38,7 @@
 
 use crate::{
     bulkhead,
+    exposure,
     instance::name_hash,
     limit,
     message::{
@@ -304,6 +305,8 @@
         Message::OriginResponse(ref response) => node.exchange.answer(response.id, message),
         Message::Outcome(outcome) => planner::handle_outcome(node, &outcome),
         Message::Evidence(evidence) => quarantine::handle_evidence(node, &evidence),
+        Message::RolloutReport(report) => exposure::handle_report(node, &report),
+        Message::RolloutNotice(notice) => exposure::handle_notice(node, &notice, from),
         Message::Suspects(suspects) => quarantine::handle_suspects(node, &suspects, from).await,
     }
 }
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -92,6 +92,11 @@
         self.leaving || self.row.leaving
     }
 
+    /// Hash of its name, as in datagrams.
+    pub fn hash(&self) -> u32 {
+        self.hash
+    }
+
     /// Whether its link has enough bandwidth to serve the other instances.
     pub fn has_fast_link(&self) -> bool {
         self.row.link_mbps >= MIN_FAST_LINK_MBPS
--- a/crates/router/src/lease/row.rs
+++ b/crates/router/src/lease/row.rs
@@ -64,6 +64,12 @@
         key(other) < key(own)
     }
 
+    /// Where the holder receives datagrams, if the row names one that has not released the lease.
+    pub fn holder_address(&self) -> Option<SocketAddr> {
+        let row = self.row.as_ref().filter(|row| !row.released);
+        row?.address
+    }
+
     /// Records a change of the row that was received at `now`.
     pub fn new(change: &Change, now: Duration) -> Self {
         let Some(value) = &change.value else {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod endpoints;
 pub mod era;
 pub mod exchange;
+pub mod exposure;
 pub mod fleet;
 pub mod http;
 mod incarnation;
@@ -63,5 +64,7 @@
 /// Prefix of the rows that record which build began each stream. The key continues with the time by the
 /// table's clock.
 pub const ORIGINS: &str = "damask/origin/";
+/// Prefix of the rows with the state of rollouts of services' versions, by service.
+pub const EXPOSURES: &str = "damask/exposure/";
 /// Key of the row of the lease that permits orders to engines.
 pub const LEASE: &str = "damask/lease";
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -4,6 +4,7 @@
 //! datagrams have none. postcard encodes by position: the order of fields and
 //! variants is part of the format. Any datagram may be lost, repeated or late.
 
+mod rollout;
 mod room;
 
 use std::net::SocketAddr;
@@ -21,6 +22,10 @@
     },
     protocol::Invalid, //
 };
+pub use rollout::{
+    RolloutNotice,
+    RolloutReport, //
+};
 pub use room::{
     BrittleService,
     RoomReport,
@@ -80,6 +85,10 @@
     /// From an instance to hubs, and from a hub to all other instances: services whose endpoints are
     /// brittle.
     BrittleServices(Vec<BrittleService>),
+    /// From an instance to the one that controls a rollout, or to hubs: what it has seen of it.
+    RolloutReport(RolloutReport),
+    /// From the instance that controls a rollout to all other instances: it goes on.
+    RolloutNotice(RolloutNotice),
 }
 
 /// What began streams.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -26,10 +26,6 @@
     belief::Millis,
     load::Estimate,
     retry_share::Budget,
-    rewrite::{
-        self,
-        Writer, //
-    },
     stop::Schedule, //
 };
 use state::{
@@ -59,6 +55,7 @@
         self,
         Exchange, //
     },
+    exposure,
     fleet::{
         Endpoint,
         Registration, //
@@ -162,6 +159,8 @@
     pub planner: planner::State,
     /// Builds of the endpoints of each service.
     pub builds: builds::Table,
+    /// Rollouts of services' versions.
+    pub exposure: exposure::Table,
     /// Which service and build began each stream.
     pub origins: origin::Table,
     /// The lease that permits orders to engines.
@@ -229,6 +228,7 @@
             quarantine: Arc::default(),
             planner: planner::State::default(),
             builds: builds::Table::default(),
+            exposure: exposure::Table::default(),
             origins: origin::Table::default(),
             lease: Lease::default(),
             lease_row: Mutex::default(),
@@ -298,22 +298,6 @@
         self.exchange.forget_clock();
     }
 
-    /// Delay after which this instance writes a row again that a restored table lacks and that all
-    /// instances may know; `is_writer` if it wrote the row last.
-    pub fn rewrite_delay(&self, is_writer: bool) -> Duration {
-        let writer = match self.hub_rank() {
-            _ if is_writer => Writer::Last,
-            Some(rank) => Writer::Hub(rank),
-            None => Writer::Other,
-        };
-        rewrite::shared_delay(writer, self.instance_count(), rand::random())
-    }
-
-    /// Delay after which this instance writes its own row again that a restored table lacks.
-    pub fn own_rewrite_delay(&self) -> Duration {
-        rewrite::own_delay(self.instance_count(), rand::random())
-    }
-
     /// Applies changed rows of operators; `confirmed` is a time by the table's clock at which the
     /// table did not have the changes, if one is known.
     pub fn apply_operator_changes(&self, changes: &[Change], confirmed: Option<Duration>) {
@@ -328,6 +312,9 @@
                 Ok(OperatorRow::Weights { model, version }) => {
                     self.set_rollout(model, version, change.revision, confirmed)
                 }
+                Ok(OperatorRow::Rollout(order)) => {
+                    self.order_rollout(order, change.revision, confirmed)
+                }
                 Ok(OperatorRow::Other) => false,
                 Err(reason) => {
                     emit!(
@@ -388,6 +375,7 @@
         let now = clock::now();
         exchange::judge_outage(self, now);
         self.endpoints.apply::<P>(changes, now);
+        exposure::refresh(self);
         self.rollout_wakeup.notify_one();
         self.builds.changed.notify_one();
     }
@@ -444,6 +432,7 @@
             rollout::apply_progress(self, change);
             quarantine::apply_row(self, change);
             builds::apply_row(self, change);
+            exposure::apply_row(self, change);
             origin::apply_row(self, change);
             self.apply_instance_row(change);
         }
--- a/crates/router/src/protocol.rs
+++ b/crates/router/src/protocol.rs
@@ -8,6 +8,7 @@
 use std::{
     fmt::Debug,
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -292,6 +293,36 @@
     ///
     /// If the row is invalid; it then registers no endpoint.
     fn read_endpoint_row(key: &str, value: &[u8]) -> Result<Registration, Invalid>;
+
+    /// Key of the row that tells operators the state of a service's rollout.
+    fn rollout_status_key(service: &str) -> String;
+
+    /// Value of the row that tells operators that the rollout of an order is in `state`.
+    fn write_rollout_status(order: &RolloutOrder, state: RolloutState) -> Vec<u8>;
+}
+
+/// An order to put one version of a service in the place of its others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RolloutOrder {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// The version, as [`Registration::build`].
+    pub to: Arc<str>,
+    /// Whether the operator has written the version as a number; the status repeats its form.
+    pub is_number: bool,
+    /// Time budget.
+    pub duration: Duration,
+}
+
+/// State of a rollout, as operators are told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RolloutState {
+    /// It has begun.
+    Running,
+    /// Only the ordered version serves.
+    Complete,
+    /// The ordered version serves no more.
+    RolledBack,
 }
 
 /// Content of a row that an operator wrote.
@@ -306,6 +337,8 @@
         /// Weights version; increases with each change.
         version: u64,
     },
+    /// The version of a service that should be in the place of its others.
+    Rollout(RolloutOrder),
     /// A row that the router does not use.
     Other,
 }
--- a/crates/router/src/rollout.rs
+++ b/crates/router/src/rollout.rs
@@ -244,7 +244,7 @@
             }
             return;
         }
-        self.is_busy = self.has_work();
+        self.is_busy = self.has_work() || self.node.exposure.has_work();
         if !self.is_busy {
             self.free_since = None;
             if !self.absent.is_empty() {
--- a/crates/router/src/states.rs
+++ b/crates/router/src/states.rs
@@ -16,6 +16,10 @@
         for rollout in self.rollouts.load().iter() {
             metrics.set_state("weights_wanted", &rollout.model, rollout.version);
         }
+        for (service, stage, per_mille) in self.exposure.stages() {
+            metrics.set_state("rollout_stage", &service, stage);
+            metrics.set_state("rollout_share_per_mille", &service, per_mille);
+        }
         metrics.set_state("quarantined_segments", "", self.quarantine.len() as u64);
         let lease = self.lease.check(Duration::ZERO);
         metrics.set_state("lease_number", "", lease.map_or(0, |grant| grant.number));
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -199,6 +199,9 @@
             match upstream.first(node, call, last_event).await {
                 Ok(Some(first)) => {
                     upstream.selection.record_first_token(node, call.class());
+                    if let Some(track) = &upstream.selection.track {
+                        track.record_answer(answer.head.status);
+                    }
                     if call.class() == Class::Urgent {
                         let delay = call.arrived_at.elapsed();
                         let objective = call.route.objective;
--- a/crates/router/tests/endpoints.rs
+++ b/crates/router/tests/endpoints.rs
@@ -12,6 +12,8 @@
     protocol::{
         Invalid,
         OperatorRow,
+        RolloutOrder,
+        RolloutState,
         Rows, //
     }, //
 };
@@ -41,6 +43,14 @@
             weights: Vec::new(),
         })
     }
+
+    fn rollout_status_key(service: &str) -> String {
+        service.to_owned()
+    }
+
+    fn write_rollout_status(_: &RolloutOrder, _: RolloutState) -> Vec<u8> {
+        Vec::new()
+    }
 }
 
 fn at(seconds: u64) -> Duration {
--- a/crates/router/tests/tables.rs
+++ b/crates/router/tests/tables.rs
@@ -38,6 +38,8 @@
     protocol::{
         Invalid,
         OperatorRow,
+        RolloutOrder,
+        RolloutState,
         Rows, //
     },
     weights::Rollout, //
@@ -150,6 +152,14 @@
             None => Err(Invalid("empty".to_owned())),
         }
     }
+
+    fn rollout_status_key(service: &str) -> String {
+        service.to_owned()
+    }
+
+    fn write_rollout_status(_: &RolloutOrder, _: RolloutState) -> Vec<u8> {
+        Vec::new()
+    }
 }
 
 fn put(value: &[u8]) -> [Change; 1] {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -188,4 +188,16 @@
     LEASE_LOST = 611;
     /// This instance has given up the lease for control work before the end of its term.
     LEASE_RELEASED = 612;
+    /// Operators have ordered a version of a service to be put in the place of the others.
+    ROLLOUT_ORDERED = 620;
+    /// This instance controls a rollout and has published its stage; `told` is what operators are told by it, if anything.
+    ROLLOUT_STAGE = 621;
+    /// The stage of a rollout changes; names the verdict on the version, and whether all instances have reported and endpoints of the version are there for all requests.
+    ROLLOUT_JUDGED = 622;
+    /// The version on trial is bad; this instance sends nothing to it any more. The reason says whose observations show it.
+    VERSION_BAD = 623;
+    /// Nothing was heard from the instance that controls a rollout; this one sends nothing to the version on trial until it hears of it.
+    ROLLOUT_SILENT = 624;
+    /// A version of a service has appeared beside others; it is used once the rows of operators are as new as its endpoint's, so that an order for it would be known.
+    VERSION_APPEARED = 625;
 }
