Rollouts: a new decider settles before it advances, and long slices count by their length

After a change of the decider all that came before is one slice. It hid slow versions, since a difference in it was not spread over slices, and since windows were measured by their number of slices. Steps take at least 0.04 of the time.

--- a/crates/policy/src/exposure/judge/excess.rs
+++ b/crates/policy/src/exposure/judge/excess.rs
@@ -28,10 +28,10 @@
         self.accepted += other.accepted;
     }
 
-    /// Adds another slice.
-    pub(super) fn add(&mut self, slice: &Self) {
+    /// Adds another slice that counts as `weight` observations.
+    pub(super) fn add(&mut self, slice: &Self, weight: f64) {
         self.join(slice);
-        self.squares += (slice.observed - slice.accepted).powi(2);
+        self.squares += (slice.observed - slice.accepted).powi(2) / weight;
     }
 
     /// Number of responses.
--- a/crates/policy/src/exposure/judge/rank.rs
+++ b/crates/policy/src/exposure/judge/rank.rs
@@ -47,10 +47,10 @@
         self.variance += other.variance;
     }
 
-    /// Adds another slice.
-    pub(super) fn add(&mut self, slice: &Self) {
+    /// Adds another slice that counts as `weight` observations.
+    pub(super) fn add(&mut self, slice: &Self, weight: f64) {
         self.join(slice);
-        self.squares += slice.sum.powi(2);
+        self.squares += slice.sum.powi(2) / weight;
     }
 
     /// Deviations of the sum from zero if all times are independent.
--- a/crates/policy/src/exposure/stage.rs
+++ b/crates/policy/src/exposure/stage.rs
@@ -13,7 +13,7 @@
 /// `complete` before 0.8.
 const STEP_ENDS: [f64; 3] = [0.65, 0.71, 0.77];
 /// Shortest fraction that a step takes when the decider was late, so that each is judged.
-const MIN_STEP: f64 = 0.03;
+const MIN_STEP: f64 = 0.04;
 /// Fraction of the order's time after which a version that cannot be judged, or has no endpoints, is
 /// rolled back: the order must end in time, and the old version is known to serve.
 const GIVE_UP: f64 = 0.92;
@@ -62,7 +62,8 @@
     pub in_stage: Duration,
     /// Time that the order gives.
     pub duration: Duration,
-    /// Whether the evidence covers what nearly all instances saw until moments ago.
+    /// Whether the evidence covers what nearly all instances saw until moments ago, and is
+    /// [settled](super::Trend::is_settled).
     pub is_current: bool,
     /// Whether endpoints of the new version are in use and could take all requests.
     pub is_served: bool,
