Rollouts: evidence is dated from the order, and settles before a stage follows

Cause: the course of the evidence in time is dated from the order now, and a new holder must not take what it learns of earlier requests for recent ones. Evidence that is not settled is not current. An order whose version replaces the others very late is closed at 0.97 of its time.

--- a/crates/router/src/exposure/control.rs
+++ b/crates/router/src/exposure/control.rs
@@ -335,15 +335,8 @@
         row: Row,
         table_time: Duration,
     ) -> Option<(Row, Option<RolloutState>)> {
-        let (elapsed, duration) = state.times(Some(table_time));
-        let now = clock::now();
-        let reports = &mut state.reports;
-        let is_updated = |at| now.saturating_sub(at) < report::interval(self.node);
-        if !reports.updated_at.is_some_and(is_updated) {
-            // Slices of time should hold one report of each instance.
-            reports.updated_at = Some(now);
-            reports.trend.update(now, reports.ledger.total());
-        }
+        let (elapsed, duration) = state.times(Some(table_time))?;
+        self.update_trend(state, elapsed);
         let verdict = match state.is_bad {
             true => Verdict::Bad,
             false => judge(&state.reports.trend, elapsed, duration),
@@ -357,7 +350,7 @@
             elapsed,
             in_stage: table_time.saturating_sub(row.stage_at),
             duration,
-            is_current: self.is_current(state),
+            is_current: self.is_current(state) && state.reports.trend.is_settled(),
             is_served: self.is_served(rollout, &row),
         };
         let stage = row.stage.next(&progress);
@@ -393,6 +386,26 @@
         Some((row, told))
     }
 
+    /// Takes the reports up into the course of time. Slices should hold one report of each instance, and the
+    /// first one all that was seen before this instance was in control.
+    fn update_trend(&self, state: &mut State, elapsed: Duration) {
+        let now = clock::now();
+        let interval = report::interval(self.node);
+        let since = *state.reports.since.get_or_insert(now);
+        let is_due = match state.reports.updated_at {
+            Some(at) => now.saturating_sub(at) >= interval,
+            None => {
+                let longest = interval * CURRENT_INTERVALS;
+                self.is_current(state) || now.saturating_sub(since) >= longest
+            }
+        };
+        if is_due {
+            let reports = &mut state.reports;
+            reports.updated_at = Some(now);
+            reports.trend.update(elapsed, reports.ledger.total());
+        }
+    }
+
     /// Whether nearly all live instances have reported lately.
     fn is_current(&self, state: &State) -> bool {
         let now = clock::now();
--- a/crates/router/src/exposure/hold.rs
+++ b/crates/router/src/exposure/hold.rs
@@ -29,6 +29,8 @@
 const HOLD_SLACK: Duration = Duration::from_secs(1);
 /// Fraction of the order's time at which requests in progress are not waited for any more.
 const LATEST_CLOSE: f64 = 0.92;
+/// The same if the stage has just begun: the order must end in its time.
+const LAST_CLOSE: f64 = 0.97;
 /// Longest time from then until operators are told, and the same as a fraction of the order's time if
 /// that is shorter.
 const MAX_CLOSING: Duration = Duration::from_millis(1_500);
@@ -48,7 +50,7 @@
     if row.is_finished {
         return None;
     }
-    let duration = state.order.as_ref()?.order.duration;
+    let (elapsed, duration) = state.times(Some(table_time))?;
     if row.is_closed {
         let longest = MAX_CLOSING.min(duration.mul_f64(MAX_CLOSING_FRACTION));
         if !is_quiet(node, state, true) && in_stage < longest {
@@ -61,8 +63,8 @@
         return Some((row, Some(RolloutState::Complete)));
     }
     let min_hold = MIN_HOLD.min(duration.mul_f64(MIN_HOLD_FRACTION));
-    let elapsed = table_time.saturating_sub(row.started_at);
-    let is_late = elapsed >= duration.mul_f64(LATEST_CLOSE) && in_stage >= min_hold;
+    let is_late = elapsed >= duration.mul_f64(LATEST_CLOSE) && in_stage >= min_hold
+        || elapsed >= duration.mul_f64(LAST_CLOSE);
     let longest = longest_request(node, rollout).max(min_hold) + HOLD_SLACK;
     if !is_quiet(node, state, false) && !is_late && in_stage < longest {
         return None;
--- a/crates/router/src/exposure/report.rs
+++ b/crates/router/src/exposure/report.rs
@@ -99,12 +99,14 @@
     let is_on_trial = state.share().is_some();
     let counts = &mut state.counts;
     counts.hold.settle(now, &mut counts.evidence);
-    counts.trend.update(now, &counts.evidence);
-    let (elapsed, duration) = state.times(node.exchange.table_time(now));
-    let is_bad = || judge(&state.counts.trend, elapsed, duration) == Verdict::Bad;
-    if is_on_trial && !state.is_bad && is_bad() {
-        state.is_bad = true;
-        record_bad(rollout, "own observations");
+    if let Some((elapsed, duration)) = state.times(node.exchange.table_time(now)) {
+        let counts = &mut state.counts;
+        counts.trend.update(elapsed, &counts.evidence);
+        let verdict = judge(&counts.trend, elapsed, duration);
+        if is_on_trial && !state.is_bad && verdict == Verdict::Bad {
+            state.is_bad = true;
+            record_bad(rollout, "own observations");
+        }
     }
     let silence = longest_silence(node.config.bounds.rollback);
     let was_heard = state.heard.at.is_some();
--- a/crates/router/src/exposure/select.rs
+++ b/crates/router/src/exposure/select.rs
@@ -101,7 +101,7 @@
     let Some(share) = state.share() else {
         return;
     };
-    let (elapsed, duration) = state.times(node.exchange.table_time(clock::now()));
+    let times = state.times(node.exchange.table_time(clock::now()));
     drop(state);
     if !rules::is_rationed(node, query.service, version) {
         return;
@@ -112,6 +112,7 @@
     let (new, old): (Vec<_>, Vec<_>) = staying.partition(|e| *e.registration.build == *version);
     let count = exposure::endpoints(share, old.len(), new.len());
     if count < eligible.len() {
+        let (elapsed, duration) = times.unwrap_or_default();
         let first = exposure::first_endpoint(elapsed, duration, count, new.len());
         // All instances pick the same ones, as far as they see the same endpoints.
         let name = |e: &&Arc<Endpoint>| e.registration.name.clone();
--- a/crates/router/src/exposure/state.rs
+++ b/crates/router/src/exposure/state.rs
@@ -59,6 +59,8 @@
 pub(super) struct Reports {
     pub(super) ledger: Ledger<(u32, u64)>,
     pub(super) trend: Trend,
+    /// Since when this instance controls the rollout.
+    pub(super) since: Option<Duration>,
     /// When `trend` was updated.
     pub(super) updated_at: Option<Duration>,
     /// # Invariants
@@ -135,15 +137,11 @@
         is_gone || !self.registered.contains(&row.to)
     }
 
-    /// Time since the order and the time that it gives; none has passed while the table's clock is not
-    /// known.
-    pub(super) fn times(&self, table_time: Option<Duration>) -> (Duration, Duration) {
-        let started_at = self.row().map(|row| row.started_at);
-        let elapsed = table_time.zip(started_at);
-        let elapsed = elapsed.map(|(now, started_at)| now.saturating_sub(started_at));
-        let order = self.order.as_ref();
-        let duration = order.map_or(Duration::ZERO, |order| order.order.duration);
-        (elapsed.unwrap_or_default(), duration)
+    /// Time since the order, and the time that it gives; `None` while the order was not acted on, or the
+    /// table's clock is not known.
+    pub(super) fn times(&self, table_time: Option<Duration>) -> Option<(Duration, Duration)> {
+        let elapsed = table_time?.saturating_sub(self.row()?.started_at);
+        Some((elapsed, self.order.as_ref()?.order.duration))
     }
 
     /// Share of the requests that may go to the ordered version while it is on trial.
