--- a/crates/policy/src/exposure/stage.rs
+++ b/crates/policy/src/exposure/stage.rs
@@ -16,7 +16,7 @@
 const MIN_STEP: f64 = 0.04;
 /// Fraction of the order's time after which a version that cannot be judged, or has no endpoints, is
 /// rolled back: the order must end in time, and the old version is known to serve.
-const GIVE_UP: f64 = 0.92;
+const GIVE_UP: f64 = 0.96;
 
 /// Share of the requests in the sample and in the steps, as multiples of the share that a bad version
 /// may get of all. Together, with the times above, they come to 0.94 of that share at constant
