--- /dev/null
+++ b/crates/policy/tests/exposure/main.rs
@@ -0,0 +1,7 @@
+//! Rollout of a version: bound of the exposure, evidence, verdict and stages.
+
+mod evidence;
+mod fleet;
+mod ration;
+mod stage;
+mod verdict;
