--- a/crates/router/src/planner/views.rs
+++ b/crates/router/src/planner/views.rs
@@ -8,7 +8,10 @@
         TOLERANCE_SECONDS, //
     }, //
 };
-use state::sorted;
+use state::{
+    clock,
+    sorted, //
+};
 
 use crate::{
     choose::decide::{
@@ -54,10 +57,14 @@
     node.config.choice == Choice::Planned && query.engine().is_some()
 }
 
-/// Seconds by which costs may differ without meaning; not 0 if all instances choose alone while no
-/// planner answers.
+/// Seconds by which costs may differ without meaning; not 0 if other instances choose alone, too, while
+/// no planner answers.
 pub fn tolerance<P: Protocol>(node: &Node<P>, query: &Query<'_>, scope: Scope) -> f32 {
-    if scope == Scope::Local && is_planned(node, query) {
+    let has_others = || {
+        let now = clock::now();
+        node.members.with_live(now, |members| members.len() > 1)
+    };
+    if scope == Scope::Local && is_planned(node, query) && has_others() {
         TOLERANCE_SECONDS
     } else {
         0.0
