--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -77,12 +77,10 @@
     service: Arc<S>,
     mut stop: watch::Receiver<bool>,
 ) {
-    let (closing, _) = watch::channel(false);
     let (running, mut ended) = mpsc::channel(1);
     let mut plane = Plane {
         service,
         connections: Arc::default(),
-        closing,
         running,
         logged_at: None,
     };
@@ -118,7 +116,9 @@
     }
     // Otherwise connections would be closed on which requests have arrived that are not read yet.
     tokio::time::sleep(LAST_READ_TIME).await;
-    plane.closing.send_replace(true);
+    if !S::UPGRADES {
+        plane.connections.close();
+    }
     drop(plane);
     // Returns when the last connection has ended.
     ended.recv().await;
@@ -142,8 +142,6 @@
 struct Plane<S> {
     service: Arc<S>,
     connections: Arc<Connections>,
-    /// Turns true when idle connections are to close, at a stop.
-    closing: watch::Sender<bool>,
     /// Kept by each connection that a stop waits for.
     running: mpsc::Sender<Infallible>,
     /// When a closure was last logged.
@@ -192,16 +190,15 @@
             .max_header_size(bounds.head_bytes)
             .max_buf_size(buffer_bytes)
             .serve_connection(stream, answer);
-        let closing = self.closing.subscribe();
         if S::UPGRADES {
             let connection = connection.with_upgrades();
             let close =
                 |connection: Pin<&mut _>| UpgradeableConnection::graceful_shutdown(connection);
-            tokio::spawn(drive(connection, close, slot, closing, None));
+            tokio::spawn(drive(connection, close, slot, None));
         } else {
             let running = Some(self.running.clone());
             let close = |connection: Pin<&mut _>| http1::Connection::graceful_shutdown(connection);
-            tokio::spawn(drive(connection, close, slot, closing, running));
+            tokio::spawn(drive(connection, close, slot, running));
         }
     }
 }
@@ -220,16 +217,15 @@
     Ok(response.map(|body| Tracked::new(body, connection)))
 }
 
-/// Drives a connection until it ends or is cut; `close` ends it once no request is in progress. Those without `running` are left open at a stop.
+/// Drives a connection until it ends or is cut; `close` ends it once no request is in progress. A stop
+/// waits for the end of those with `_running`.
 async fn drive<C: Future<Output = hyper::Result<()>>>(
     connection: C,
     close: impl Fn(Pin<&mut C>),
     slot: Slot,
-    mut closing: watch::Receiver<bool>,
-    running: Option<mpsc::Sender<Infallible>>,
+    _running: Option<mpsc::Sender<Infallible>>,
 ) {
     let mut connection = pin!(connection);
-    let mut closes_at_stop = running.is_some();
     loop {
         tokio::select! {
             biased;
@@ -244,7 +240,6 @@
                     return;
                 }
             }
-            _ = closing.wait_for(|closing| *closing), if closes_at_stop => closes_at_stop = false,
         }
         close(connection.as_mut());
     }
--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -243,6 +243,15 @@
         Ok((slot, closure))
     }
 
+    /// Asks all connections to close once no request is in progress.
+    pub fn close(&self) {
+        for connection in &*self.open.lock() {
+            if connection.order.load(Ordering::Relaxed) == OPEN {
+                connection.order(CLOSING);
+            }
+        }
+    }
+
     /// Closes the connections that have broken a bound; returns why, for each.
     pub fn sweep(&self, bounds: &Bounds) -> Vec<Closure> {
         let now = now_ms();
