Ingress: short unfinished bodies can be shed, senders that hold nothing are not

Found by reading, not seen by callers: a body of up to 32 KiB that never ends was not known as an unfinished sender, so that a crowd of some 730 on a machine of 120 MB (worked out) would fill the memory for bodies until the deadlines of their routes. While requests that were read whole fill the memory, a sender that waits alone was shed after 0.5 s in place of 2 s, and senders that hold nothing were shed first. An idle connection whose answer is still being written was the first to be closed.

Change: each body that arrives in several pieces is registered; a deadlock needs two waiting senders that hold memory; a connection that its caller does not read is closed after all others.

None of these faults has a test of its own.

--- a/crates/router/src/ingress/account.rs
+++ b/crates/router/src/ingress/account.rs
@@ -226,8 +226,12 @@
         let stalled = unshed()
             .filter(|sender| !waits(sender) && idle(sender) >= millis(STALL_TIME))
             .max_by_key(|sender| (held(sender) as u64).saturating_mul(idle(sender)));
-        let all_wait = || sheds_waiting && unshed().all(|sender| waits(sender));
-        let least = || unshed().min_by_key(|sender| held(sender));
+        // One sender alone waits for requests that were read whole, and one that holds nothing frees
+        // nothing.
+        let holding = || unshed().filter(|sender| held(sender) > 0);
+        let all_wait =
+            || sheds_waiting && holding().count() > 1 && holding().all(|sender| waits(sender));
+        let least = || holding().min_by_key(|sender| held(sender));
         if let Some(sender) = stalled.or_else(|| all_wait().then(least).flatten()) {
             sender.shed();
             self.shed_at_ms.store(now, Ordering::Relaxed);
--- a/crates/router/src/ingress/body.rs
+++ b/crates/router/src/ingress/body.rs
@@ -159,7 +159,8 @@
 
     /// Extends the memory to `total` bytes.
     async fn grow(&mut self, total: usize) -> Result<(), Fault> {
-        if self.registration.is_none() && total > FIRST_BYTES * 2 {
+        // Short bodies too: a crowd of them that never ends would fill the memory.
+        if self.registration.is_none() {
             self.registration = Some(self.account.register());
         }
         if !self.hold.try_set(total) {
--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -273,7 +273,9 @@
         .filter(|known| known.phase() != WHOLE && known.order.load(Ordering::Relaxed) == OPEN);
     usable.min_by_key(|known| {
         let since = known.since_ms.load(Ordering::Relaxed);
-        (known.phase() != IDLE, since)
+        // An idle connection may still have an answer to write.
+        let is_blocked = known.blocked_ms.load(Ordering::Relaxed) > 0;
+        (is_blocked, known.phase() != IDLE, since)
     })
 }
 
