Rollouts: versions come back into use, and one instance alone rolls nothing back

Found by reading, not seen by callers. A version that an order had taken out of use two orders ago stayed without requests for good. A version that appears while the rows of operators are not known waited for as long as the table was away, also while all endpoints of other versions leave. One instance with a slow path to the endpoints rolled a good version back for all. Streams of the ordered version could not go on at it while the instance in control was silent.

Change: versions that an earlier order left out may be used again once they had no endpoint; a version waits for 3 s at most, and only beside endpoints that stay; what one instance has seen stops that instance only, and three that agree roll back without waiting for the total; silence leaves streams, and takes the ration.

--- a/crates/router/src/exposure/gate.rs
+++ b/crates/router/src/exposure/gate.rs
@@ -23,6 +23,10 @@
     protocol::Protocol, //
 };
 
+/// Longest time for which a version waits. The rows of operators may not be known for as long as the
+/// table is away, while the endpoints of other versions leave.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+
 /// A version that has just appeared.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -32,6 +36,8 @@
     revision: Revision,
     /// When it appeared, by the table's clock, if that is known.
     appeared_at: Option<Duration>,
+    /// When it appeared.
+    since: Duration,
 }
 
 /// Versions of each service, and those among them that wait for the rows of operators.
@@ -64,7 +70,8 @@
     pub(super) fn refresh<P: Protocol>(&self, node: &Node<P>) {
         let fleet = node.endpoints.fleet();
         let revision = node.mirrors.endpoints.revision();
-        let appeared_at = node.exchange.table_time(clock::now());
+        let now = clock::now();
+        let appeared_at = node.exchange.table_time(now);
         let mut known = self.known.lock();
         let mut next = Vec::with_capacity(known.len());
         let mut pending = Vec::new();
@@ -80,19 +87,22 @@
             versions.dedup();
             let first = known.partition_point(|(s, _)| s < service);
             let is_new_service = known.get(first).is_none_or(|(s, _)| s != service);
-            let oldest = endpoints.iter().min_by_key(|e| e.registration.incarnation);
+            let staying = || endpoints.iter().filter(|e| !e.registration.leaving);
+            let oldest = staying().min_by_key(|e| e.registration.incarnation);
             for version in &versions {
                 let entry = (service.clone(), version.clone());
                 let is_known = known.binary_search(&entry).is_ok();
                 // Of several versions that were there first, that of the oldest process is in use.
                 let is_oldest = oldest.is_some_and(|e| e.registration.build == *version);
                 let is_first = is_new_service && is_oldest;
-                if !is_known && !is_first && versions.len() > 1 {
+                let has_others = staying().any(|e| e.registration.build != *version);
+                if !is_known && !is_first && has_others {
                     pending.push(Pending {
                         service: service.clone(),
                         version: version.clone(),
                         revision,
                         appeared_at,
+                        since: now,
                     });
                 }
                 next.push(entry);
@@ -125,7 +135,8 @@
     /// Whether the rows of operators are known up to the time at which the version appeared.
     fn is_covered<P: Protocol>(&self, node: &Node<P>) -> bool {
         let confirmed = node.exchange.confirmed();
-        node.mirrors.operator.revision() >= self.revision
+        clock::now().saturating_sub(self.since) > MAX_WAIT
+            || node.mirrors.operator.revision() >= self.revision
             || confirmed
                 .zip(self.appeared_at)
                 .is_some_and(|(confirmed, at)| confirmed >= at)
--- a/crates/router/src/exposure/report.rs
+++ b/crates/router/src/exposure/report.rs
@@ -49,6 +49,9 @@
 const MAX_ROUTES: usize = 8;
 /// Maximum number of instances whose reports are kept.
 const MAX_REPORTERS: usize = 4_096;
+/// Number of instances that must each have found a version bad before their reports alone roll it back.
+/// A single one may only have a slow path to its endpoints.
+const MIN_REPORTERS_AGAINST: usize = 3;
 
 /// What an instance has told last.
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +66,8 @@
     pub(super) is_closed: bool,
     /// Number of its requests in progress at endpoints of the replaced versions.
     pub(super) in_flight: u32,
+    /// Whether the instance has found the version bad.
+    pub(super) is_bad: bool,
 }
 
 /// Interval of the reports of each instance.
@@ -103,8 +108,8 @@
         let counts = &mut state.counts;
         counts.trend.update(elapsed, &counts.evidence);
         let verdict = judge(&counts.trend, elapsed, duration);
-        if is_on_trial && !state.is_bad && verdict == Verdict::Bad {
-            state.is_bad = true;
+        if is_on_trial && !state.is_bad_here && verdict == Verdict::Bad {
+            state.is_bad_here = true;
             record_bad(rollout, "own observations");
         }
     }
@@ -124,7 +129,7 @@
         stage: state.row().map(|row| row.stage),
         is_closed: state.row().is_some_and(|row| row.is_closed),
         in_flight: in_flight(node, rollout, &state),
-        is_bad: state.is_bad,
+        is_bad: state.is_bad || state.is_bad_here,
     };
     Some(report)
 }
@@ -229,6 +234,7 @@
         stage: report.stage,
         is_closed: report.is_closed,
         in_flight: report.in_flight,
+        is_bad: report.is_bad,
     };
     let found = reports
         .reporters
@@ -240,9 +246,11 @@
     }
     let key = (report.instance, report.incarnation);
     reports.ledger.record(&key, &report.evidence);
-    if report.is_bad && !state.is_bad {
+    let against = reports.reporters.iter().filter(|known| known.is_bad);
+    let is_agreed = against.count() >= MIN_REPORTERS_AGAINST;
+    if is_agreed && !state.is_bad {
         state.is_bad = true;
-        record_bad(rollout, "report of another instance");
+        record_bad(rollout, "reports of several instances");
     }
 }
 
--- a/crates/router/src/exposure/row.rs
+++ b/crates/router/src/exposure/row.rs
@@ -75,6 +75,11 @@
     pub(super) fn is_denied(&self, build: &str) -> bool {
         self.denied.iter().any(|known| **known == *build)
     }
+
+    /// Whether this order or an earlier one has taken the version out of use.
+    pub(super) fn is_left_out(&self, build: &str) -> bool {
+        self.is_base(build) || self.is_denied(build)
+    }
 }
 
 /// A row as this instance knows it.
--- a/crates/router/src/exposure/rules.rs
+++ b/crates/router/src/exposure/rules.rs
@@ -87,15 +87,18 @@
     match row.stage {
         Stage::RolledBack if is_ordered => Access::Denied,
         Stage::Sample | Stage::Shift { .. } if is_ordered => {
-            if state.is_bad || is_silent(state, silence, now) {
+            if state.is_bad || state.is_bad_here {
                 Access::Denied
+            } else if is_silent(state, silence, now) {
+                // Streams go on only at the version that began them.
+                Access::Streams
             } else {
                 Access::Rationed
             }
         }
         _ if is_ordered => Access::Free,
+        Stage::Done if row.is_left_out(version) && state.is_reused(version) => Access::Free,
         _ if row.is_denied(version) => Access::Denied,
-        Stage::Done if row.is_base(version) && state.is_reused(version) => Access::Free,
         Stage::Done if row.is_base(version) && row.is_closed => Access::Denied,
         Stage::Done if row.is_base(version) => Access::Streams,
         _ => Access::Free,
--- a/crates/router/src/exposure/select.rs
+++ b/crates/router/src/exposure/select.rs
@@ -45,6 +45,10 @@
         return None;
     }
     let mut state = rollout.state.lock();
+    let silence = rules::longest_silence(node.config.bounds.rollback);
+    if rules::is_silent(&state, silence, clock::now()) {
+        return None;
+    }
     let share = state.share()?;
     let version = state.row()?.to.clone();
     if !state.counts.ration.allows(share) {
--- a/crates/router/src/exposure/state.rs
+++ b/crates/router/src/exposure/state.rs
@@ -88,6 +88,9 @@
     pub(super) heard: Heard,
     /// Whether the ordered version is known to be bad; it gets no more requests.
     pub(super) is_bad: bool,
+    /// Whether it is bad by this instance's own observations alone. It gets no more requests from this
+    /// instance; a slow path to the endpoints looks the same, so that others may go on.
+    pub(super) is_bad_here: bool,
     /// Whether an absence of the instance in control was logged.
     pub(super) is_silent: bool,
     pub(super) counts: Counts,
@@ -221,7 +224,7 @@
         let mut state = self.state.lock();
         let finished = state.row().filter(|row| row.is_finished);
         let gone: Vec<_> = finished.map_or_else(Vec::new, |row| {
-            let replaced = row.base.iter();
+            let replaced = row.base.iter().chain(&row.denied);
             let gone = replaced.filter(|b| !registered.contains(b) && !state.gone.contains(b));
             gone.cloned().collect()
         });
