--- a/crates/policy/tests/exposure/verdict.rs
+++ b/crates/policy/tests/exposure/verdict.rs
@@ -76,15 +76,6 @@
     times
 }
 
-/// Checks that at least 95 of 100 versions are rolled back and keep the bound.
-fn assert_most_are_rolled_back(fault: Fault, rates: &[f64], begins: (f64, f64)) {
-    let outcomes = worlds(fault, rates, begins).map(run);
-    let is_found =
-        |outcome: &Outcome| outcome.stage == Some(Stage::RolledBack) && outcome.is_bounded();
-    let found = outcomes.filter(is_found).count();
-    assert!(found * 100 >= RUNS as usize * 95, "{found}");
-}
-
 fn assert_rolled_back_in_time(fault: Fault, rates: &[f64], begins: (f64, f64)) {
     let times = assert_rolled_back(fault, rates, begins);
     assert!(times[times.len() - 1] <= ROLLBACK, "{times:?}");
@@ -114,21 +105,29 @@
     assert_rolled_back_in_time(Fault::FailsOnRoute(0.3), &RATES[1..], (0.0, 0.2));
 }
 
-/// Guards against a version that is judged by failures only. Engines of three paces, and a change of the
-/// decider, make slowness harder to tell than failures: some rollbacks take longer than they should.
+/// Guards against failures of a small route that are found too late or not at all where the service gets
+/// few requests.
+#[test]
+fn a_version_that_fails_on_a_small_route_is_rolled_back_at_any_rate() {
+    assert_rolled_back_in_time(Fault::FailsOnRoute(0.3), &RATES, (0.0, 0.2));
+}
+
+/// Guards against a version that is judged by failures only.
 #[test]
 fn a_slow_version_is_rolled_back() {
-    let times = assert_rolled_back(Fault::Slow(3.0), &RATES, (0.0, 0.4));
-    let in_time = times.iter().filter(|time| **time <= ROLLBACK).count();
-    assert!(in_time * 100 >= times.len() * 95, "{times:?}");
-    assert!(times[times.len() - 1] <= ROLLBACK + 4.0, "{times:?}");
+    assert_rolled_back(Fault::Slow(3.0), &RATES, (0.0, 0.4));
+}
+
+/// Guards against slowness that is told from differences between engines of three paces too late.
+#[test]
+fn a_slow_version_is_rolled_back_in_time() {
+    assert_rolled_back_in_time(Fault::Slow(3.0), &RATES, (0.0, 0.4));
 }
 
-/// Guards against slowness of some responses that the usual ones hide. It takes hundreds of responses
-/// to tell it from differences between engines, so that some runs end before it is found.
+/// Guards against slowness of some responses that the usual ones hide.
 #[test]
-fn most_versions_that_are_slow_now_and_then_are_rolled_back() {
-    assert_most_are_rolled_back(Fault::PartlySlow(0.5), &RATES[2..], (0.0, 0.2));
+fn a_version_that_is_slow_now_and_then_is_rolled_back_in_time() {
+    assert_rolled_back_in_time(Fault::PartlySlow(0.5), &RATES, (0.0, 0.2));
 }
 
 /// Guards against crashes, bursts, differences between endpoints and an absent table that make a good
@@ -160,9 +159,9 @@
     }
 }
 
-/// Guards against steps that nobody judges: most versions that turn bad within the shift are found in
-/// time to keep the bound, although the step has a larger share.
+/// Guards against steps that nobody judges, and that a version which turns bad within them exceeds its
+/// bound.
 #[test]
-fn most_versions_that_turn_bad_in_the_shift_are_rolled_back() {
-    assert_most_are_rolled_back(Fault::Fails(0.3), &RATES, (0.6, 0.7));
+fn a_version_that_turns_bad_in_the_shift_is_rolled_back_in_time() {
+    assert_rolled_back_in_time(Fault::Fails(0.3), &RATES, (0.6, 0.7));
 }
