--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Plays the case; needs the build of the deploy file and review/build-2.sh.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/review-2/release/review-standin-2
+[ -x "$program" ] || { echo "$program: not built"; exit 2; }
+exec "$program" isolation review/8/record.txt
--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, and what they share.
 
+pub mod isolation;
 pub mod twice;
 pub mod wall;
 
@@ -98,8 +99,15 @@
     )
 }
 
-/// Sends a request for a stream, and records it and its answer.
-fn send(record: &Record, address: SocketAddr, id: &str, key: &str, prefix: &str, tokens: u64) {
+/// Sends a request for a stream, and records it and its answer; whether that is whole and a success.
+fn send(
+    record: &Record,
+    address: SocketAddr,
+    id: &str,
+    key: &str,
+    prefix: &str,
+    tokens: u64,
+) -> bool {
     let body = format!("question {id}");
     let request = format!(
         "POST /read/1 HTTP/1.1\r\nHost: {HOST}\r\nDamasktrestle-Attempt-Id: {id}\r\n\
@@ -111,6 +119,8 @@
     record.write(&format!("consumer sends {id} to {address}"));
     // Longer than any gap after which consumers abandon a stream.
     let answer = http::call(address, &request, Duration::from_secs(4));
+    let is_served = |answer: &http::Answer| answer.is_whole && answer.message.status() == 200;
+    let is_served = answer.as_ref().is_some_and(is_served);
     let text = match answer {
         Some(answer) => format!(
             "status {}, {} bytes, whole: {}",
@@ -121,6 +131,7 @@
         None => "no answer".to_owned(),
     };
     record.write(&format!("consumer of {id}: {text}"));
+    is_served
 }
 
 /// Writes all runs into the record.
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -53,6 +53,7 @@
     record.write(&format!("case {case}, disruption: {has_trouble}"));
     let result = match case.as_str() {
         "wall" => cases::wall::play(&record, has_trouble),
+        "isolation" => cases::isolation::play(&record, has_trouble),
         "twice" => cases::twice::play(&record, has_trouble),
         _ => Err("no such case".to_owned()),
     };
