--- a/review/standin-2/src/cases/isolation.rs
+++ b/review/standin-2/src/cases/isolation.rs
@@ -45,6 +45,8 @@
     record.write("all processes are ready");
     let started_at = Instant::now();
     let change_at = started_at + CHANGE_AT;
+    // When the store had the change, and when each request was sent.
+    let (mut changed_at, mut sent) = (None, Vec::new());
     let tokens = SHARED_TOKENS + OWN_TOKENS;
     thread::scope(|scope| {
         let mut turn = 0;
@@ -65,11 +67,13 @@
                 is_changed = true;
                 let config = version(7, Some(ISOLATED));
                 deployment.store.put("op", "config", &config);
+                changed_at = Some(Instant::now());
                 record.write(&format!("operator: {config}"));
             }
             let tenant = TENANTS[turn % TENANTS.len()];
             let id = format!("{tenant}-{turn}");
             if let Some(address) = deployment.address(turn) {
+                sent.push((id.clone(), Instant::now()));
                 let key = format!("key-{tenant}");
                 let prefix = format!("{SHARED},d{turn:04x}:{OWN_TOKENS}");
                 scope.spawn(move || send(record, address, &id, &key, &prefix, tokens));
@@ -80,9 +84,14 @@
     });
     let runs = deployment.runs.lock().unwrap().clone();
     record_runs(record, &runs);
-    let in_force_at = change_at + APPLY_TIME;
+    // Without a change the same requests are counted, and no tenant is isolated.
+    let in_force_at = changed_at.unwrap_or(change_at) + APPLY_TIME;
     let mut broken = 0;
-    let later = runs.iter().filter(|run| run.began_at > in_force_at);
+    let is_later = |run: &&crate::engine::Run| {
+        let mut sent = sent.iter();
+        sent.any(|(id, at)| *id == run.attempt && *at > in_force_at)
+    };
+    let later = runs.iter().filter(is_later);
     for run in later.clone().filter(|_| has_trouble) {
         let is_foreign =
             |maker: &str| maker != run.tenant && [maker, run.tenant.as_str()].contains(&ISOLATED);
