Logs and metrics that tell why a request got no answer

Cause: no line distinguished the hypotheses of the incident. The lines of a stop are dropped under load (3 to 9 of 16 STOPPING lines were written), a request that the end of a stop cuts is logged without what it was doing, a panic is on standard error only, and a connection that closes here around a request that has arrived is not logged at all.

Change: REQUEST_CUT with stage, endpoint, time since the endpoint last sent something and time after the signal; PANICKED; the reason request_unanswered of CONNECTION_CLOSED; STOPPED counts the connections on which requests arrive or run. Lines of the start and end of a process have an allowance of their own. No decision changes.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to endpoints, with retries at others as long as a retry is safe.
 
 mod connection;
+mod progress;
 mod refusal;
 
 use std::{
@@ -22,6 +23,8 @@
 };
 
 use connection::options;
+pub use progress::Progress;
+use progress::Stage;
 
 use crate::{
     bulkhead,
@@ -86,8 +89,8 @@
     waits: u32,
     /// Time that each such wait takes.
     wait_interval: Duration,
-    /// Whether an attempt was sent whose outcome is not recorded.
-    is_sent: bool,
+    /// What the request is doing.
+    pub progress: Progress,
 }
 
 /// An endpoint chosen for an attempt that has not begun.
@@ -120,7 +123,7 @@
             free_retries: 0,
             waits: 0,
             wait_interval: PLACE_INTERVAL,
-            is_sent: false,
+            progress: Progress::default(),
         }
     }
 
@@ -160,7 +163,7 @@
                     Err(refusal) => return Err(self.with_verdict(refusal)),
                 },
             };
-            self.record_send(node, call);
+            self.record_send(node, call, &selection);
             match self.try_endpoint(node, call, &selection, last_event).await {
                 Ok((answer, reply)) => {
                     self.free_retries = 0;
@@ -249,8 +252,9 @@
             .count_attempt(&call.service, is_repeat, outcome);
     }
 
-    fn record_send<P: Protocol>(&mut self, node: &Node<P>, call: &Call) {
-        self.is_sent = true;
+    fn record_send<P: Protocol>(&mut self, node: &Node<P>, call: &Call, selection: &Selection) {
+        let endpoint = &selection.endpoint.registration.name;
+        self.progress.enter(Stage::Sent, Some(endpoint));
         if self.record.begin() == 1 {
             node.record_first_attempt(&call.service);
             exposure::record_request(node, &call.service);
@@ -319,7 +323,7 @@
         if let Some(version) = reply.version {
             selection.endpoint.record_version(version);
         }
-        self.is_sent = false;
+        self.progress.enter(Stage::Answered, None);
         self.record.add_run();
         self.spend_charge();
         Ok((answer, reply))
@@ -358,7 +362,7 @@
     ) {
         self.report_failure(node, call, selection, &failure);
         let name = &selection.endpoint.registration.name;
-        self.is_sent = false;
+        self.progress.enter(Stage::Placing, None);
         self.record.add_failure(name, failure);
     }
 
@@ -415,6 +419,7 @@
     ) {
         self.report_failure(node, call, selection, &failure);
         let name = &selection.endpoint.registration.name;
+        self.progress.enter(Stage::Placing, None);
         self.record.add_truncation(name, failure);
         if node.bulkheads.is_brittle(&call.service, clock::now()) {
             // The others may have no room until a request of theirs ends.
--- a/crates/router/src/attempt/refusal.rs
+++ b/crates/router/src/attempt/refusal.rs
@@ -6,6 +6,8 @@
 
 use super::Attempts;
 use crate::{
+    node::Node,
+    protocol::Protocol,
     refusal::{
         Reason,
         Refusal, //
@@ -42,10 +44,17 @@
         )
     }
 
-    /// The refusal of a request that has not ended when this instance does.
-    pub fn cut_refusal(&mut self) -> Refusal {
+    /// The refusal of a request that has not ended when this instance does; `last_event` is that of a
+    /// stream which its caller has in part.
+    pub fn cut_refusal<P: Protocol>(
+        &mut self,
+        node: &Node<P>,
+        call: &Call,
+        last_event: Option<u64>,
+    ) -> Refusal {
+        self.progress.log_cut(node, call, last_event);
         let mut refusal = self.with_verdict(stop::refusal());
-        if self.is_sent {
+        if self.progress.is_sent() {
             self.spend_charge();
             refusal.verdict = refusal.verdict.worst(Verdict::MayHaveRun);
         }
--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -56,7 +56,7 @@
     let mut attempts = Attempts::new(charge);
     tokio::select! {
         served = serve_call(node, &call, &mut attempts) => served,
-        () = node.stop.over() => Err(attempts.cut_refusal()),
+        () = node.stop.over() => Err(attempts.cut_refusal(node, &call, None)),
     }
 }
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -9,6 +9,7 @@
 use platform::table::Watch;
 use telemetry::{
     emit,
+    emit_lifecycle,
     event, //
 };
 use tokio::{
@@ -33,7 +34,10 @@
         self,
         Service, //
     },
-    ingress::RECEIVE_BYTES,
+    ingress::{
+        Busy,
+        RECEIVE_BYTES, //
+    },
     node::Node,
     origin,
     peer,
@@ -61,6 +65,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    log_panics();
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut reload = signal(SignalKind::hangup())?;
@@ -78,6 +83,22 @@
     })
 }
 
+/// Logs panics, which end one task, beside what the process writes to standard error.
+fn log_panics() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let location = panic.location().map(ToString::to_string);
+        let message = panic.payload_as_str();
+        emit_lifecycle!(
+            error,
+            event::PANICKED,
+            location = location,
+            reason = message
+        );
+        report(panic);
+    }));
+}
+
 /// A running instance.
 struct Daemon<P> {
     node: Arc<Node<P>>,
@@ -120,7 +141,7 @@
         tokio::spawn(exposure::run(node.clone(), table.clone()));
         tokio::spawn(quarantine::run(node.clone(), table.clone()));
         tokio::spawn(origin::run(node.clone(), table.clone()));
-        emit!(info, event::STARTED, instance = node.config.name);
+        emit_lifecycle!(info, event::STARTED, instance = node.config.name);
         let machine = &node.ingress.machine;
         emit!(
             info,
@@ -146,7 +167,7 @@
     /// other instances may go on with those that have not ended; these end without their rest, and
     /// other requests with a refusal.
     async fn stop<W: Watch>(mut self, table: &W) {
-        emit!(info, event::STOPPING, instance = self.node.config.name);
+        emit_lifecycle!(info, event::STOPPING, instance = self.node.config.name);
         let schedule = self.node.begin_stop();
         self.node.rollout_wakeup.notify_one();
         let drain = async {
@@ -184,11 +205,14 @@
             // Callers that do not read their answers have until then.
             tokio::time::timeout(schedule.answer, answered).await.ok();
         }
-        emit!(
+        let Busy { arriving, running } = self.node.ingress.connections.busy();
+        emit_lifecycle!(
             info,
             event::STOPPED,
             instance = self.node.config.name,
             in_time = in_time,
+            arriving = arriving,
+            running = running,
         );
     }
 }
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -8,6 +8,7 @@
     convert::Infallible,
     future::Future,
     pin::Pin,
+    sync::Arc,
     task::{
         Context,
         Poll, //
@@ -42,7 +43,8 @@
 use crate::ingress::{
     Bounds,
     Closure,
-    Connection, //
+    Connection,
+    Connections, //
 };
 
 /// Time in which requests that have arrived are read before idle connections are closed.
@@ -195,6 +197,11 @@
         self.answer(request)
     }
 
+    /// The connections of the plane.
+    fn connections(&self) -> Arc<Connections> {
+        Arc::default()
+    }
+
     /// Bounds for the connections of the plane.
     fn bounds(&self) -> Bounds {
         Bounds::default()
--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -79,8 +79,8 @@
 ) {
     let (running, mut ended) = mpsc::channel(1);
     let mut plane = Plane {
+        connections: service.connections(),
         service,
-        connections: Arc::default(),
         running,
         logged_at: None,
     };
@@ -179,6 +179,7 @@
         // Failing to set the option costs only latency.
         stream.set_nodelay(true).ok();
         let service = self.service.clone();
+        let owner = self.service.clone();
         let connection = slot.connection.clone();
         let answer =
             service_fn(move |request| answer(service.clone(), connection.clone(), request));
@@ -194,11 +195,11 @@
             let connection = connection.with_upgrades();
             let close =
                 |connection: Pin<&mut _>| UpgradeableConnection::graceful_shutdown(connection);
-            tokio::spawn(drive(connection, close, slot, None));
+            tokio::spawn(drive(connection, close, owner, slot, None));
         } else {
             let running = Some(self.running.clone());
             let close = |connection: Pin<&mut _>| http1::Connection::graceful_shutdown(connection);
-            tokio::spawn(drive(connection, close, slot, running));
+            tokio::spawn(drive(connection, close, owner, slot, running));
         }
     }
 }
@@ -219,9 +220,10 @@
 
 /// Drives a connection until it ends or is cut; `close` ends it once no request is in progress. A stop
 /// waits for the end of those with `_running`.
-async fn drive<C: Future<Output = hyper::Result<()>>>(
+async fn drive<S: Service, C: Future<Output = hyper::Result<()>>>(
     connection: C,
     close: impl Fn(Pin<&mut C>),
+    owner: Arc<S>,
     slot: Slot,
     _running: Option<mpsc::Sender<Infallible>>,
 ) {
@@ -230,6 +232,14 @@
         tokio::select! {
             biased;
             ended = connection.as_mut() => {
+                let is_own_end = ended
+                    .as_ref()
+                    .map_or_else(|error| error.is_timeout() || error.is_user(), |()| true);
+                if is_own_end && slot.connection.has_unbegun() {
+                    let closure = Closure::RequestUnanswered;
+                    owner.count_closure(closure);
+                    emit!(warn, event::CONNECTION_CLOSED, reason = closure.as_str());
+                }
                 if let Err(error) = ended {
                     emit!(debug, event::CONNECTION_FAULT, reason = %error);
                 }
--- a/crates/router/src/ingress.rs
+++ b/crates/router/src/ingress.rs
@@ -20,6 +20,7 @@
 };
 pub use connection::{
     Bounds,
+    Busy,
     Closure,
     Connection,
     Connections,
@@ -37,6 +38,8 @@
     pub machine: Machine,
     /// Memory of the bodies of requests.
     pub bodies: Arc<Account>,
+    /// Connections of callers.
+    pub connections: Arc<Connections>,
 }
 
 impl Ingress {
@@ -45,6 +48,7 @@
         Self {
             machine,
             bodies: Arc::new(Account::new(machine.body_bytes())),
+            connections: Arc::default(),
         }
     }
 }
--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -7,6 +7,7 @@
     sync::{
         Arc,
         atomic::{
+            AtomicBool,
             AtomicU8,
             AtomicU64,
             Ordering, //
@@ -62,6 +63,8 @@
     BodyStalled,
     /// The caller did not take an answer.
     AnswerUnread,
+    /// It ended here after bytes of a request had been read that got no answer.
+    RequestUnanswered,
 }
 
 impl Closure {
@@ -73,6 +76,7 @@
             Closure::HeadTimeout => "head_timeout",
             Closure::BodyStalled => "body_stalled",
             Closure::AnswerUnread => "answer_unread",
+            Closure::RequestUnanswered => "request_unanswered",
         }
     }
 }
@@ -101,6 +105,8 @@
     since_ms: AtomicU64,
     /// Since when written bytes are not taken, in milliseconds; 0 if they are.
     blocked_ms: AtomicU64,
+    /// Whether bytes were read that follow the request in progress.
+    is_ahead: AtomicBool,
     order: AtomicU8,
     ordered_ms: AtomicU64,
     /// Notified when the order changes.
@@ -120,9 +126,11 @@
     /// Records bytes that were read. Empty lines before a request do not begin its head: HTTP allows
     /// them, and they count against the size of the head.
     pub fn record_read(&self, bytes: &[u8]) {
+        let has_head = || bytes.iter().any(|byte| !b"\r\n".contains(byte));
         match self.phase() {
-            IDLE if bytes.iter().any(|byte| !b"\r\n".contains(byte)) => self.enter(HEAD),
+            IDLE if has_head() => self.enter(HEAD),
             BODY => self.since_ms.store(now_ms(), Ordering::Relaxed),
+            WHOLE if has_head() => self.is_ahead.store(true, Ordering::Relaxed),
             _ => {}
         }
     }
@@ -139,6 +147,7 @@
 
     /// Begins a request whose head was read.
     pub fn begin(&self, is_whole: bool) {
+        self.is_ahead.store(false, Ordering::Relaxed);
         self.enter(if is_whole { WHOLE } else { BODY });
     }
 
@@ -154,6 +163,11 @@
         }
     }
 
+    /// Whether bytes of a request were read that has not begun.
+    pub fn has_unbegun(&self) -> bool {
+        self.phase() == HEAD || self.is_ahead.load(Ordering::Relaxed)
+    }
+
     /// Waits until the connection is to close; returns whether at once.
     pub async fn ordered(&self) -> bool {
         self.wake.notified().await;
@@ -189,6 +203,15 @@
     }
 }
 
+/// Numbers of connections with requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Busy {
+    /// Connections on which a request arrives.
+    pub arriving: usize,
+    /// Connections on which a request is in progress.
+    pub running: usize,
+}
+
 /// All connections of a plane.
 #[derive(Debug, Default)]
 pub struct Connections {
@@ -252,6 +275,19 @@
         }
     }
 
+    /// Counts the connections with requests.
+    pub fn busy(&self) -> Busy {
+        let mut busy = Busy::default();
+        for connection in &*self.open.lock() {
+            match connection.phase() {
+                HEAD | BODY => busy.arriving += 1,
+                WHOLE => busy.running += 1,
+                _ => {}
+            }
+        }
+        busy
+    }
+
     /// Closes the connections that have broken a bound; returns why, for each.
     pub fn sweep(&self, bounds: &Bounds) -> Vec<Closure> {
         let now = now_ms();
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -19,6 +19,7 @@
 use hyper::body::Incoming;
 use telemetry::{
     emit,
+    emit_lifecycle,
     event,
     metrics::Sample, //
 };
@@ -35,7 +36,8 @@
     ingress::{
         Bounds,
         Closure,
-        Connection, //
+        Connection,
+        Connections, //
     },
     node::Node,
     origin,
@@ -102,6 +104,7 @@
         connection: &Connection,
         id: &mut Option<HeaderValue>,
     ) -> Result<Response<Body>, Refusal> {
+        let arrived_at = Instant::now();
         let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
         let (parts, body) = request.into_parts();
         let head = match P::read_request(&parts) {
@@ -115,9 +118,18 @@
         let request = Request::from_parts(parts, body);
         let admission = tokio::select! {
             admission = admit::accept(&self.0, head, request, connection) => admission,
-            () = self.0.stop.over() => Err(stop::refusal()),
+            () = self.0.stop.over() => {
+                emit_lifecycle!(
+                    warn,
+                    event::REQUEST_CUT,
+                    request = id.as_ref().and_then(|id| id.to_str().ok()),
+                    stage = "arriving",
+                    sent_ms = self.0.stop.time_since(arrived_at).map(millis),
+                    age_ms = millis(arrived_at.elapsed()),
+                );
+                Err(stop::refusal())
+            }
         }?;
-        let arrived_at = admission.call.arrived_at;
         let mut response = if admission.call.route.streams {
             stream::serve(&self.0, admission).await?
         } else {
@@ -197,6 +209,10 @@
         }
     }
 
+    fn connections(&self) -> Arc<Connections> {
+        self.0.ingress.connections.clone()
+    }
+
     fn bounds(&self) -> Bounds {
         let limits = self.limits();
         let head_bytes = limits.max_header_bytes.saturating_add(REQUEST_LINE_BYTES);
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::OnceLock,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use policy::stop::{
@@ -25,22 +28,32 @@
 /// Progress of a planned stop.
 #[derive(Debug, Default)]
 pub struct State {
-    /// Time at which running requests must have ended, by the local clock; set when the stop begins.
-    drained_at: OnceLock<Duration>,
-    /// Whether this time has passed.
+    begun: OnceLock<Begun>,
+    /// Whether the time of running requests has passed.
     is_over: watch::Sender<bool>,
 }
 
+/// A stop that has begun.
+#[derive(Debug)]
+struct Begun {
+    at: Instant,
+    /// Time at which running requests must have ended, by the local clock.
+    drained_at: Duration,
+}
+
 impl State {
     /// Begins a stop.
     pub fn begin(&self, schedule: &Schedule) {
         // A second signal changes nothing.
-        let _ = self.drained_at.set(clock::now() + schedule.drain);
+        let _ = self.begun.set(Begun {
+            at: Instant::now(),
+            drained_at: clock::now() + schedule.drain,
+        });
     }
 
     /// Whether a stop has begun.
     pub fn has_begun(&self) -> bool {
-        self.drained_at.get().is_some()
+        self.begun.get().is_some()
     }
 
     /// Ends all requests that still run.
@@ -57,8 +70,13 @@
 
     /// Time that running requests have left; `None` while no stop has begun.
     fn time_left(&self) -> Option<Duration> {
-        let drained_at = self.drained_at.get()?;
-        Some(drained_at.saturating_sub(clock::now()))
+        let begun = self.begun.get()?;
+        Some(begun.drained_at.saturating_sub(clock::now()))
+    }
+
+    /// How long after the begin of the stop a request arrived; `None` if it arrived before.
+    pub fn time_since(&self, arrived_at: Instant) -> Option<Duration> {
+        arrived_at.checked_duration_since(self.begun.get()?.at)
     }
 }
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -127,7 +127,7 @@
     let mut last_event = call.head.last_event;
     let opening = tokio::select! {
         opening = open_stream(node, &call, &mut attempts, &mut last_event) => opening,
-        () = node.stop.over() => Err(attempts.cut_refusal()),
+        () = node.stop.over() => Err(attempts.cut_refusal(node, &call, call.head.last_event)),
     }?;
     let (head, upstream, first) = match opening {
         Opening::Stream(stream) => *stream,
@@ -311,7 +311,9 @@
         let node = self.node.clone();
         let forwarded = tokio::select! {
             forwarded = self.forward_events(first, &chunks) => forwarded,
-            () = node.stop.over() => Err(self.attempts.cut_refusal()),
+            () = node.stop.over() => {
+                Err(self.attempts.cut_refusal(&node, &self.call, self.last_event))
+            }
         };
         let (outcome, abort) = match forwarded {
             Ok(true) => ("ok", None),
@@ -421,6 +423,7 @@
             Ok(next) => next,
             Err(failure) => return self.resume(failure).await,
         };
+        self.attempts.progress.record_heard();
         // An engine that crashes on a segment may still send its first events, and the end of an
         // answer without a length may be that of its connection.
         if let Some(upstream) = &self.upstream
--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -30,6 +30,8 @@
 };
 use tracing_subscriber::fmt::MakeWriter;
 
+use crate::LIFECYCLE_TARGET;
+
 /// Sustained rate: far more than an undisturbed instance logs, and below one percent of the CPU
 /// time of a small instance.
 pub const LINES_PER_SECOND: u32 = 100;
@@ -37,6 +39,8 @@
 pub const BURST_LINES: u32 = 400;
 /// Lines of the burst that are reserved for warnings and errors.
 pub const RESERVED_LINES: u32 = 200;
+/// Lines of the start and the end of a process, which no other line displaces.
+pub const LIFECYCLE_LINES: u32 = 1_000;
 /// Lines that are queued for a slow reader; about a megabyte.
 const QUEUED_LINES: usize = 4_096;
 
@@ -47,6 +51,8 @@
     Routine,
     /// Reports a failure, a refusal or a loss.
     Notable,
+    /// Reports the start or the end of the process.
+    Lifecycle,
 }
 
 /// Token bucket with one token per line.
@@ -54,6 +60,8 @@
 struct Bucket {
     tokens: f64,
     refilled_at: Instant,
+    /// Lines of [`Severity::Lifecycle`] that may still be written.
+    lifecycle_lines: u32,
     /// Lines dropped since the last line that was written.
     dropped: u64,
 }
@@ -71,6 +79,7 @@
             bucket: Mutex::new(Bucket {
                 tokens: f64::from(BURST_LINES),
                 refilled_at: now,
+                lifecycle_lines: LIFECYCLE_LINES,
                 dropped: 0,
             }),
         }
@@ -88,9 +97,13 @@
         let refill = elapsed.as_secs_f64() * f64::from(LINES_PER_SECOND);
         bucket.tokens = (bucket.tokens + refill).min(f64::from(BURST_LINES));
         bucket.refilled_at = now;
+        if severity == Severity::Lifecycle && bucket.lifecycle_lines > 0 {
+            bucket.lifecycle_lines -= 1;
+            return Some(std::mem::take(&mut bucket.dropped));
+        }
         let min_tokens = match severity {
             Severity::Routine => f64::from(RESERVED_LINES) + 1.0,
-            Severity::Notable => 1.0,
+            Severity::Notable | Severity::Lifecycle => 1.0,
         };
         if bucket.tokens < min_tokens {
             bucket.dropped += 1;
@@ -176,7 +189,9 @@
     fn make_writer_for(&'a self, metadata: &Metadata<'_>) -> Line<'a> {
         Line {
             writer: self,
-            severity: if *metadata.level() <= Level::WARN {
+            severity: if metadata.target() == LIFECYCLE_TARGET {
+                Severity::Lifecycle
+            } else if *metadata.level() <= Level::WARN {
                 Severity::Notable
             } else {
                 Severity::Routine
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -34,10 +34,12 @@
     STARTED = 100;
     /// A planned shutdown has begun; running requests are left to finish.
     STOPPING = 101;
-    /// The instance has stopped.
+    /// The instance has stopped; `in_time` if all requests had ended before, else on how many connections requests still arrived or ran.
     STOPPED = 102;
     /// Log lines before the next one were dropped by the rate limit or because the log reader was too slow.
     LINES_DROPPED = 103;
+    /// A task of the process has panicked, and what it worked on has ended; report it with the location and the message.
+    PANICKED = 104;
     /// A settings revision is in force.
     SETTINGS_IN_FORCE = 200;
     /// The table did not answer; settings may be stale if this lasts.
@@ -124,6 +126,8 @@
     ENDPOINT_ROW_OLD = 416;
     /// A stream that would leave its endpoint stays, since no other endpoint can go on with it now.
     STREAM_STAYS = 417;
+    /// A planned stop ended a request that still ran; `stage` says what it was doing, `quiet_ms` for how long its endpoint had sent nothing, and `sent_ms` how long after the signal it arrived, if it did so after it.
+    REQUEST_CUT = 418;
     /// The outcome of a request that may run once could not be written; replays are told that it may have run.
     CLAIM_UNSETTLED = 420;
     /// An endpoint has stated in an answer that it leaves; it gets no new requests, whatever its row says.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -19,5 +19,23 @@
     };
 }
 
+/// Target of lines that have their own allowance in the limit of the log.
+#[doc(hidden)]
+pub const LIFECYCLE_TARGET: &str = "lifecycle";
+
+/// Logs an event like [`emit!`], from an allowance of its own, so that a flood of other lines does
+/// not displace it. For events that an instance emits only as it starts or ends.
+#[macro_export]
+macro_rules! emit_lifecycle {
+    ($level:ident, $event:expr $(, $($field:tt)*)?) => {
+        $crate::tracing::$level!(
+            target: $crate::LIFECYCLE_TARGET,
+            event = $event.number,
+            name = $event.name
+            $(, $($field)*)?
+        )
+    };
+}
+
 #[doc(hidden)]
 pub use tracing;
--- a/crates/telemetry/tests/bounded.rs
+++ b/crates/telemetry/tests/bounded.rs
@@ -14,6 +14,7 @@
 
 use telemetry::bounded::{
     BURST_LINES,
+    LIFECYCLE_LINES,
     LINES_PER_SECOND,
     Limiter,
     RESERVED_LINES,
@@ -55,6 +56,19 @@
     assert_eq!(notable, RESERVED_LINES as usize);
 }
 
+/// Guards against a flood that displaces the lines which tell how a process has ended.
+#[test]
+fn a_flood_displaces_no_lifecycle_lines() {
+    let now = Instant::now();
+    let limiter = Limiter::new(now);
+    for _ in 0..10_000 {
+        limiter.admit(now, Severity::Notable);
+    }
+    let ends = (0..LIFECYCLE_LINES).filter(|_| limiter.admit(now, Severity::Lifecycle).is_some());
+    assert_eq!(ends.count(), LIFECYCLE_LINES as usize);
+    assert_eq!(limiter.admit(now, Severity::Lifecycle), None);
+}
+
 /// An output that blocks each write until the test releases it.
 struct StalledOutput(mpsc::Receiver<()>);
 
