A stream that goes on with nothing left to send is whole

What callers saw: a stream all of whose events had arrived was cut off without its end.

Cause: a stream may leave its engine, or lose it, between its last event and its end. The engine that goes on with it has nothing left to send after Last-Event-Id, and answers with an empty stream. open_stream took every empty stream for a failure, as it must for one that begins; no run was left, and the caller's connection was closed. The failure also counted as a crash of the engine in the search for segments that crash engines.

Why this works: an answer to Last-Event-Id that says where it ends (a length or chunks) and holds no later event proves that there is none. Answers that end with their connection prove nothing and fail as before.

--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -196,7 +196,14 @@
                 lease: answer.lease,
                 splitter: Splitter::default(),
             };
-            match upstream.first(node, call, last_event).await {
+            let first = match upstream.first(node, call, last_event).await {
+                // Nothing is left of a stream whose events the caller has all.
+                Ok(None) if last_event.is_some() && upstream.has_framed_end => {
+                    Ok(Some(Bytes::new()))
+                }
+                first => first,
+            };
+            match first {
                 Ok(Some(first)) => {
                     upstream.selection.record_first_token(node, call.class());
                     if let Some(track) = &upstream.selection.track {
