Streams leave a sound endpoint only where room is reserved for them

What callers saw: a stream was cut off in the middle although its engine was sound.

Cause: a stream whose engine is silent for 2 s, or has to load weights, left it as soon as another engine was connected to. Whether that one would take the stream was not known. Engines that preempt streams are full, and so are the others: three rejections within 21 ms used up the two further attempts, and the caller's connection was closed. An engine that rejected once was not asked again, and the time in which the stream waited asked nobody.

Change: an endpoint is asked to reserve room first, while the present one is read on; one that refuses costs nothing. Room is asked for where the configuration says for how long engines reserve it. A stream that is rejected all the same is placed for as long as its caller waits, as the shared retries allow, at any endpoint.

Why this works: a stream has an endpoint at any time, but for the moment between a promise of room and the request.

--- a/crates/endpoint/src/attempt.rs
+++ b/crates/endpoint/src/attempt.rs
@@ -116,11 +116,6 @@
         self.tried.extend(last);
     }
 
-    /// Allows an endpoint that failed earlier to be chosen again.
-    pub fn allow(&mut self, name: &Arc<str>) {
-        self.tried.retain(|tried| tried != name);
-    }
-
     /// Allows every endpoint to be chosen again.
     pub fn allow_all(&mut self) {
         self.tried.clear();
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,13 +1,11 @@
 //! Sends a request to endpoints, with retries at others as long as a retry is safe.
 
+mod ahead;
 mod connection;
 mod progress;
 mod refusal;
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use endpoint::{
     Answer,
@@ -53,12 +51,10 @@
 };
 
 /// Attempts of a stream that are allowed beyond its limits after it has left an endpoint that may still
-/// serve it: the next one may reject it.
+/// serve it.
 const FREE_RETRIES: u32 = 2;
-/// Pause before such a stream is placed again if no endpoint can take it.
+/// Pause before a stream is placed again that has left an endpoint which may still serve it.
 const PLACE_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of these pauses; callers give up a stream after a few seconds without an event.
-const MAX_WAITS: u32 = 6;
 /// Pause before a stream whose brittle endpoint fell over is placed again if no other has room, which
 /// new requests take, too.
 const ROOM_INTERVAL: Duration = Duration::from_millis(50);
@@ -79,16 +75,14 @@
     record: Record,
     /// Where the next attempt goes, if it was placed ahead of it.
     placed: Option<Placed>,
-    /// Name of the endpoint that a stream has left although it may still serve it.
-    left: Option<Arc<str>>,
-    /// Attempts that are allowed without a retry left, since the stream has left an endpoint that may
-    /// still serve it.
+    /// Id of the room that the endpoint of the next attempt has reserved.
+    reservation: Option<String>,
+    /// Whether the stream has left an endpoint that may still serve it, and none has gone on with it.
+    is_moving: bool,
+    /// Attempts of such a stream that are allowed without a retry left: the next endpoint may reject it.
     free_retries: u32,
-    /// How often such a stream, or one whose brittle endpoint fell over, still waits while no endpoint can
-    /// take it.
+    /// How often a stream whose brittle endpoint fell over still waits while no other can take it.
     waits: u32,
-    /// Time that each such wait takes.
-    wait_interval: Duration,
     /// What the request is doing.
     pub progress: Progress,
 }
@@ -98,6 +92,8 @@
 struct Placed {
     selection: Selection,
     trial: Option<Trial>,
+    /// Id of the room that the endpoint has reserved.
+    reservation: Option<String>,
 }
 
 /// An answer whose head has been received.
@@ -119,10 +115,10 @@
             trial: None,
             record: Record::default(),
             placed: None,
-            left: None,
+            reservation: None,
+            is_moving: false,
             free_retries: 0,
             waits: 0,
-            wait_interval: PLACE_INTERVAL,
             progress: Progress::default(),
         }
     }
@@ -149,15 +145,21 @@
                 return Err(self.with_verdict(refusal));
             }
             let selection = match self.placed.take() {
-                Some(Placed { selection, trial }) => {
-                    self.trial = trial;
-                    selection
+                Some(placed) => {
+                    self.trial = placed.trial;
+                    self.reservation = placed.reservation;
+                    placed.selection
                 }
                 None => match self.place(node, call, last_event).await {
                     Ok(selection) => selection,
+                    Err(_) if self.is_moving => {
+                        self.record.allow_all();
+                        tokio::time::sleep(PLACE_INTERVAL).await;
+                        continue;
+                    }
                     Err(_) if self.waits > 0 => {
                         self.waits -= 1;
-                        tokio::time::sleep(self.wait_interval).await;
+                        tokio::time::sleep(ROOM_INTERVAL).await;
                         continue;
                     }
                     Err(refusal) => return Err(self.with_verdict(refusal)),
@@ -166,7 +168,7 @@
             self.record_send(node, call, &selection);
             match self.try_endpoint(node, call, &selection, last_event).await {
                 Ok((answer, reply)) => {
-                    self.free_retries = 0;
+                    self.is_moving = false;
                     self.waits = 0;
                     self.count_outcome(node, call, "answered");
                     return Ok(EndpointAnswer {
@@ -177,7 +179,7 @@
                 }
                 Err(failure) => self.add_failure(node, call, &selection, failure),
             }
-            if !self.may_retry(node, call) {
+            if !self.may_retry(node, call) && !self.wait_for_retry(node, call).await {
                 return Err(self.final_refusal(call));
             }
         }
@@ -195,55 +197,30 @@
         let must_place = last_event.is_some()
             || self.record.verdict() != Verdict::NotRun
             || self.trial.is_some();
-        loop {
-            let chosen = choose::choose(node, call, self.record.tried(), must_place).await;
-            let Some(left) = chosen.is_err().then(|| self.left.take()).flatten() else {
-                return chosen;
-            };
-            self.record.allow(&left);
-        }
+        choose::choose(node, call, self.record.tried(), must_place).await
     }
 
-    /// Chooses another endpoint that may go on with a stream, and connects to it, while `present`
-    /// still serves the stream. The next attempt goes there, and a retry is charged for it.
-    ///
-    /// # Errors
-    ///
-    /// Why there is none now.
-    pub async fn place_ahead<P: Protocol>(
-        &mut self,
-        node: &Node<P>,
-        call: &Call,
-        present: &Arc<str>,
-    ) -> Result<(), String> {
-        let no_retry = || Err("no retry is left".to_owned());
-        if call.time_left() < MIN_TIME_LEFT || !node.has_retry_left(&call.service) {
-            return no_retry();
+    /// Waits until a stream that has left an endpoint which may still serve it may be sent again;
+    /// `false` if it ends instead.
+    async fn wait_for_retry<P: Protocol>(&mut self, node: &Node<P>, call: &Call) -> bool {
+        if !self.is_moving || !self.is_safe(call) {
+            return false;
         }
-        let trial = quarantine::check(node, call).await;
-        let trial = trial.map_err(|refusal| refusal.message)?;
-        let mut tried = self.record.tried().to_vec();
-        tried.push(present.clone());
-        let selection = choose::choose(node, call, &tried, true).await;
-        let selection = selection.map_err(|refusal| refusal.message)?;
-        let target = selection.target();
-        let dialer = selection.dialer(node);
-        if let Err(failure) = node
-            .pool
-            .connect(target, options(node, call), &dialer)
-            .await
-        {
-            selection.record_unreachable(node, &failure.fault);
-            if let Some(track) = &selection.track {
-                track.record_failure(&failure);
-            }
-            return Err(failure.to_string());
+        if self.free_retries > 0 {
+            self.free_retries -= 1;
+            node.overcharge_retry(&call.service);
+            return true;
         }
-        if !node.try_charge_retry(&call.service) {
-            return no_retry();
+        self.record.allow_all();
+        loop {
+            tokio::time::sleep(PLACE_INTERVAL).await;
+            if call.time_left() < MIN_TIME_LEFT {
+                return false;
+            }
+            if node.try_charge_retry(&call.service) {
+                return true;
+            }
         }
-        self.placed = Some(Placed { selection, trial });
-        Ok(())
     }
 
     fn count_outcome<P: Protocol>(&self, node: &Node<P>, call: &Call, outcome: &'static str) {
@@ -274,6 +251,7 @@
         let registration = &selection.endpoint.registration;
         let target = selection.target();
         let time_left = call.time_left();
+        let reservation = self.reservation.take();
         let attempt = Attempt {
             endpoint: &registration.name,
             time_left,
@@ -286,6 +264,7 @@
                 save_to: selection.save_to,
             }),
             last_event,
+            reservation: reservation.as_deref(),
         };
         let request = call.build_request::<P>(target, &attempt)?;
         if last_event.is_some() {
@@ -423,12 +402,12 @@
         self.record.add_truncation(name, failure);
         if node.bulkheads.is_brittle(&call.service, clock::now()) {
             // The others may have no room until a request of theirs ends.
-            (self.waits, self.wait_interval) = (MAX_ROOM_WAITS, ROOM_INTERVAL);
+            self.waits = MAX_ROOM_WAITS;
         }
     }
 
-    /// Records that a stream leaves an endpoint which may still serve it; it may return there if no
-    /// other endpoint takes it.
+    /// Records that a stream leaves an endpoint which may still serve it; it is placed for as long as
+    /// its caller waits, also there.
     pub fn add_departure<P: Protocol>(
         &mut self,
         node: &Node<P>,
@@ -437,9 +416,13 @@
         failure: Failure,
     ) {
         self.add_truncation(node, call, selection, failure);
-        self.left = Some(selection.endpoint.registration.name.clone());
+        self.is_moving = true;
         self.free_retries = FREE_RETRIES;
-        (self.waits, self.wait_interval) = (MAX_WAITS, PLACE_INTERVAL);
+    }
+
+    /// Whether the stream has left an endpoint that may still serve it, and none has gone on with it.
+    pub fn is_moving(&self) -> bool {
+        self.is_moving
     }
 
     /// Whether a stream that an endpoint answers may continue at another one, and return if that one
@@ -450,24 +433,22 @@
             && self.record.attempts() + 1 < MAX_ATTEMPTS
     }
 
+    /// Whether another attempt cannot run the request twice, or may.
+    fn is_safe(&self, call: &Call) -> bool {
+        self.record.verdict() == Verdict::NotRun
+            || (call.is_repeatable() && self.record.runs() < call.route.max_runs)
+    }
+
     /// Whether another attempt is allowed.
     pub fn may_retry<P: Protocol>(&mut self, node: &Node<P>, call: &Call) -> bool {
         let record = &self.record;
-        let is_safe = record.verdict() == Verdict::NotRun
-            || (call.is_repeatable() && record.runs() < call.route.max_runs);
-        let max_attempts = MAX_ATTEMPTS + self.free_retries;
-        if !is_safe || record.attempts() >= max_attempts || call.time_left() < MIN_TIME_LEFT {
+        if !self.is_safe(call)
+            || record.attempts() >= MAX_ATTEMPTS
+            || call.time_left() < MIN_TIME_LEFT
+        {
             return false;
         }
-        if !record.has_reached_endpoint() || node.try_charge_retry(&call.service) {
-            return true;
-        }
-        let is_free = self.free_retries > 0;
-        if is_free {
-            self.free_retries -= 1;
-            node.overcharge_retry(&call.service);
-        }
-        is_free
+        !record.has_reached_endpoint() || node.try_charge_retry(&call.service)
     }
 }
 
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -105,6 +105,8 @@
     pub cache_tokens: u64,
     /// Cache memory per token, in bytes.
     pub token_bytes: u64,
+    /// Longest time for which engines reserve room for a request; `None` if they reserve none.
+    pub max_reservation: Option<Duration>,
 }
 
 /// A store of cached prefixes for engines.
--- a/crates/router/src/protocol.rs
+++ b/crates/router/src/protocol.rs
@@ -106,6 +106,8 @@
     pub engine: Option<EngineOptions>,
     /// Id of the last event that was forwarded to the caller.
     pub last_event: Option<u64>,
+    /// Id of the room that the engine has reserved for the request.
+    pub reservation: Option<&'a str>,
 }
 
 /// Options of one attempt that only a model engine receives.
@@ -193,6 +195,17 @@
     Rejected,
 }
 
+/// Room that an engine is asked to reserve for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reservation<'a> {
+    /// Name of the engine.
+    pub endpoint: &'a str,
+    /// Memory for the prompt and the answer, in tokens.
+    pub tokens: u64,
+    /// Time after which the reservation ends if the request has not arrived.
+    pub ttl: Duration,
+}
+
 /// Status report of a model engine; a few hundred milliseconds old.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Report {
@@ -266,6 +279,13 @@
     /// If the body is not a valid report.
     fn read_report(body: &[u8]) -> Result<Report, Invalid>;
 
+    /// Builds the request that asks an engine to reserve room.
+    fn reservation_request(reservation: &Reservation<'_>, address: SocketAddr) -> Request<Bytes>;
+
+    /// Reads the id of the reservation from the body of a response with status 200; `None` if there
+    /// is none.
+    fn read_reservation(body: &[u8]) -> Option<String>;
+
     /// Builds the request that sends an order.
     fn order_request(order: &Order<'_>, address: SocketAddr) -> Request<Bytes>;
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -6,6 +6,7 @@
 //! sent.
 
 mod departure;
+mod upstream;
 
 use std::{
     sync::Arc,
@@ -15,16 +16,12 @@
     }, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use endpoint::{
     Failure,
     Fault,
     Verdict,
-    events::Splitter,
-    pool::Lease, //
+    events::Splitter, //
 };
 use http::{
     HeaderMap,
@@ -32,8 +29,6 @@
     header,
     response::Parts, //
 };
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use settings::Class;
 use telemetry::{
     emit,
@@ -41,6 +36,7 @@
     metrics::Sample, //
 };
 use tokio::sync::mpsc;
+use upstream::Upstream;
 
 use crate::{
     admit::Admission,
@@ -49,7 +45,6 @@
         EndpointAnswer, //
     },
     buffered,
-    choose::Selection,
     http::{
         Abort,
         Body, //
@@ -88,17 +83,6 @@
     place_at: Instant,
 }
 
-/// The stream from the current endpoint.
-#[derive(Debug)]
-struct Upstream {
-    selection: Selection,
-    body: Incoming,
-    lease: Lease,
-    splitter: Splitter,
-    /// Whether the answer says where it ends, other than by the end of its connection.
-    has_framed_end: bool,
-}
-
 /// The start of an endpoint's answer.
 enum Opening {
     /// A stream, with its first events.
@@ -179,6 +163,7 @@
     last_event: &mut Option<u64>,
 ) -> Result<Opening, Refusal> {
     loop {
+        let is_moving = attempts.is_moving();
         let answered = attempts.send(node, call, *last_event).await?;
         let EndpointAnswer {
             selection, answer, ..
@@ -197,10 +182,8 @@
                 splitter: Splitter::default(),
             };
             let first = match upstream.first(node, call, last_event).await {
-                // Nothing is left of a stream whose events the caller has all.
-                Ok(None) if last_event.is_some() && upstream.has_framed_end => {
-                    Ok(Some(Bytes::new()))
-                }
+                // The endpoint that it has left had sent all events, but not their end.
+                Ok(None) if is_moving && upstream.has_framed_end => Ok(Some(Bytes::new())),
                 first => first,
             };
             match first {
@@ -231,85 +214,6 @@
     }
 }
 
-impl Upstream {
-    /// The first events; an error if they do not begin within the term of the weights.
-    async fn first<P: Protocol>(
-        &mut self,
-        node: &Node<P>,
-        call: &Call,
-        last_event: &mut Option<u64>,
-    ) -> Result<Option<Bytes>, Failure> {
-        let expired = self.selection.weights_expired(node);
-        tokio::select! {
-            first = self.next(last_event, call.deadline) => first,
-            expired = expired => Err(expired),
-        }
-    }
-
-    /// The next complete events, or `None` at the end of a complete stream.
-    async fn next(
-        &mut self,
-        last_event: &mut Option<u64>,
-        deadline: Instant,
-    ) -> Result<Option<Bytes>, Failure> {
-        loop {
-            if let Some(events) = self.whole_events(last_event) {
-                return Ok(Some(events));
-            }
-            if self.splitter.is_oversized() {
-                return Err(self.fail(Fault::Unreadable("event too large".to_owned())));
-            }
-            match tokio::time::timeout_at(deadline.into(), self.body.frame()).await {
-                // Frames that are always ready keep the timeout from being polled.
-                Ok(Some(Ok(_))) if Instant::now() > deadline + LATE_EVENTS_TIMEOUT => {
-                    return Err(self.fail(Fault::Timeout));
-                }
-                Ok(Some(Ok(frame))) => {
-                    if let Some(data) = frame.data_ref() {
-                        self.splitter.push(data);
-                    }
-                }
-                Ok(Some(Err(error))) => return Err(self.fail(Fault::Truncated(error.to_string()))),
-                Ok(None) if self.splitter.has_partial_event() => {
-                    return Err(self.fail(Fault::Truncated("within an event".to_owned())));
-                }
-                Ok(None) => return Ok(None),
-                Err(_) => return Err(self.fail(Fault::Timeout)),
-            }
-        }
-    }
-
-    /// All buffered complete events, without those that were forwarded before.
-    fn whole_events(&mut self, last_event: &mut Option<u64>) -> Option<Bytes> {
-        let mut all: Option<BytesMut> = None;
-        let mut single: Option<Bytes> = None;
-        while let Some(event) = self.splitter.next_event() {
-            if event.id.is_some() && event.id <= *last_event {
-                continue;
-            }
-            *last_event = event.id.or(*last_event);
-            match (&mut all, single.take()) {
-                (Some(all), _) => all.extend_from_slice(&event.bytes),
-                (None, Some(first)) => {
-                    let mut joined = BytesMut::from(&*first);
-                    joined.extend_from_slice(&event.bytes);
-                    all = Some(joined);
-                }
-                (None, None) => single = Some(event.bytes),
-            }
-        }
-        all.map(BytesMut::freeze).or(single)
-    }
-
-    fn fail(&self, fault: Fault) -> Failure {
-        Failure {
-            address: self.selection.endpoint.registration.address,
-            verdict: Verdict::MayHaveRun,
-            fault,
-        }
-    }
-}
-
 impl<P: Protocol> Relay<P> {
     /// Forwards events until the stream ends or the caller disconnects. A disconnect closes the
     /// connection to the endpoint, which cancels its work.
--- a/crates/router/src/stream/departure.rs
+++ b/crates/router/src/stream/departure.rs
@@ -1,7 +1,8 @@
 //! Streams that leave an endpoint which may still serve them.
 //!
-//! A stream leaves only once another endpoint is chosen and connected to. Otherwise it stays, for as
-//! long as the caller waits: an endpoint that sends nothing for a while may go on.
+//! A stream leaves only once another endpoint has reserved room for it, or is connected to if it reserves
+//! none. Otherwise it stays, for as long as the caller waits: an endpoint that sends nothing for a while
+//! may go on.
 
 use std::{
     sync::Arc,
@@ -23,7 +24,6 @@
 
 use super::{
     Relay,
-    Upstream,
     millis, //
 };
 use crate::{
@@ -44,36 +44,17 @@
 enum Next {
     /// The next events, or the end of the stream.
     Events(Result<Option<Bytes>, Failure>),
-    /// No event for a while, and another endpoint.
+    /// Another endpoint, and why the stream leaves the present one.
     Placed(Failure),
-    /// The time at which the engine should have loaded newer weights.
-    LoadOverdue(Failure),
 }
 
 impl<P: Protocol> Relay<P> {
     /// The next events, from the present endpoint or the one for which the stream leaves it.
     pub(super) async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
         let stalled_at = Instant::now() + STALL_TIMEOUT;
-        loop {
-            match self.wait(stalled_at).await {
-                Next::Events(next) => return self.handle_next(next).await,
-                Next::Placed(failure) => return self.depart(failure).await,
-                Next::LoadOverdue(failure) => {
-                    let Self {
-                        node,
-                        call,
-                        attempts,
-                        upstream,
-                        ..
-                    } = self;
-                    if let Some(present) = upstream
-                        && place_ahead(node, call, attempts, present.name()).await
-                    {
-                        return self.depart(failure).await;
-                    }
-                    self.place_at = Instant::now() + PLACE_INTERVAL;
-                }
-            }
+        match self.wait(stalled_at).await {
+            Next::Events(next) => self.handle_next(next).await,
+            Next::Placed(failure) => self.depart(failure).await,
         }
     }
 
@@ -91,24 +72,29 @@
             return Next::Events(Ok(None));
         };
         let may_move = attempts.may_move(call);
-        let overdue = upstream.selection.load_overdue(node);
         let stall = upstream.fail(Fault::Timeout);
+        let overdue = upstream.selection.load_overdue(node);
         let present = upstream.name().clone();
+        // The present endpoint is read all the while: it may send the rest.
         let placed = async {
-            tokio::time::sleep_until(stalled_at.into()).await;
+            let overdue = async {
+                tokio::time::sleep_until((*place_at).into()).await;
+                overdue.await
+            };
+            let failure = tokio::select! {
+                () = tokio::time::sleep_until(stalled_at.into()) => stall,
+                failure = overdue => failure,
+            };
             while !place_ahead(node, call, attempts, &present).await {
+                *place_at = Instant::now() + PLACE_INTERVAL;
                 tokio::time::sleep(PLACE_INTERVAL).await;
             }
-        };
-        let overdue = async {
-            tokio::time::sleep_until((*place_at).into()).await;
-            overdue.await
+            failure
         };
         tokio::select! {
             biased;
             next = upstream.next(last_event, call.deadline) => Next::Events(next),
-            () = placed, if may_move => Next::Placed(stall),
-            overdue = overdue, if may_move => Next::LoadOverdue(overdue),
+            failure = placed, if may_move => Next::Placed(failure),
         }
     }
 
@@ -123,13 +109,6 @@
     }
 }
 
-impl Upstream {
-    /// Name of the endpoint.
-    fn name(&self) -> &Arc<str> {
-        &self.selection.endpoint.registration.name
-    }
-}
-
 /// Chooses another endpoint while `present` still serves the stream; `false` if there is none now.
 async fn place_ahead<P: Protocol>(
     node: &Node<P>,
