Streams that are taken up late in a planned stop are refused

What callers saw: a stream that they took up late in the stop of an instance was passed on, and cut at its end.

Cause: requests that resume a stream were not checked against the time left, since the rest takes less time than the whole. The check is meant to be skipped for streams that have begun at this instance.

Why this works: the caller goes on at another instance at once; what the whole takes is a safe estimate for the rest.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -138,10 +138,9 @@
             if call.time_left() < MIN_TIME_LEFT {
                 return Err(self.deadline_refusal());
             }
-            // The rest of a stream takes less time than a whole one.
-            if last_event.is_none()
-                && let Err(refusal) = stop::check(node, call)
-            {
+            // A stream that has begun here goes on for as long as it can.
+            let has_begun = self.record.attempts() > 0 && last_event.is_some();
+            if !has_begun && let Err(refusal) = stop::check(node, call) {
                 return Err(self.with_verdict(refusal));
             }
             let selection = match self.placed.take() {
