A stream that has left its endpoint is placed until one goes on with it

What callers saw: a stream that had left a sound endpoint was cut off if the next one broke off or answered with an error before its first event, or if the shared retries were used up.

Cause: a stream counted as settled once the next endpoint had sent a head, and then had no more attempts than a request that failed. The route's runs were counted by attempts, so that a return to the endpoint that it had left was one too many. Waiting for a shared retry is in vain on an instance that stops: retries are earned by new requests.

Change: a stream is moving until another endpoint has sent an event, and until then each failure leads to another attempt. With the runs used up it goes only to endpoints that have run it. Beyond the shared retries it goes where room is reserved. Refused reservations no longer count as failures of the endpoint.

Why this works: no failure of the next endpoint ends a stream whose first one was sound; only its caller's time does.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -2,10 +2,14 @@
 
 mod ahead;
 mod connection;
+mod moving;
 mod progress;
 mod refusal;
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use endpoint::{
     Answer,
@@ -50,9 +54,6 @@
     stop, //
 };
 
-/// Attempts of a stream that are allowed beyond its limits after it has left an endpoint that may still
-/// serve it.
-const FREE_RETRIES: u32 = 2;
 /// Pause before a stream is placed again that has left an endpoint which may still serve it.
 const PLACE_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause before a stream whose brittle endpoint fell over is placed again if no other has room, which
@@ -79,6 +80,8 @@
     reservation: Option<String>,
     /// Whether the stream has left an endpoint that may still serve it, and none has gone on with it.
     is_moving: bool,
+    /// Names of the endpoints that have run the request.
+    ran: Vec<Arc<str>>,
     /// Attempts of such a stream that are allowed without a retry left: the next endpoint may reject it.
     free_retries: u32,
     /// How often a stream whose brittle endpoint fell over still waits while no other can take it.
@@ -117,6 +120,7 @@
             placed: None,
             reservation: None,
             is_moving: false,
+            ran: Vec::new(),
             free_retries: 0,
             waits: 0,
             progress: Progress::default(),
@@ -139,7 +143,7 @@
                 return Err(self.deadline_refusal());
             }
             // A stream that has begun here goes on for as long as it can.
-            let has_begun = self.record.attempts() > 0 && last_event.is_some();
+            let has_begun = self.record.runs() > 0 && last_event.is_some();
             if !has_begun && let Err(refusal) = stop::check(node, call) {
                 return Err(self.with_verdict(refusal));
             }
@@ -167,7 +171,6 @@
             self.record_send(node, call, &selection);
             match self.try_endpoint(node, call, &selection, last_event).await {
                 Ok((answer, reply)) => {
-                    self.is_moving = false;
                     self.waits = 0;
                     self.count_outcome(node, call, "answered");
                     return Ok(EndpointAnswer {
@@ -178,7 +181,7 @@
                 }
                 Err(failure) => self.add_failure(node, call, &selection, failure),
             }
-            if !self.may_retry(node, call) && !self.wait_for_retry(node, call).await {
+            if !self.may_go_on(node, call).await {
                 return Err(self.final_refusal(call));
             }
         }
@@ -196,30 +199,8 @@
         let must_place = last_event.is_some()
             || self.record.verdict() != Verdict::NotRun
             || self.trial.is_some();
-        choose::choose(node, call, self.record.tried(), must_place).await
-    }
-
-    /// Waits until a stream that has left an endpoint which may still serve it may be sent again;
-    /// `false` if it ends instead.
-    async fn wait_for_retry<P: Protocol>(&mut self, node: &Node<P>, call: &Call) -> bool {
-        if !self.is_moving || !self.is_safe(call) {
-            return false;
-        }
-        if self.free_retries > 0 {
-            self.free_retries -= 1;
-            node.overcharge_retry(&call.service);
-            return true;
-        }
-        self.record.allow_all();
-        loop {
-            tokio::time::sleep(PLACE_INTERVAL).await;
-            if call.time_left() < MIN_TIME_LEFT {
-                return false;
-            }
-            if node.try_charge_retry(&call.service) {
-                return true;
-            }
-        }
+        let excluded = self.excluded(node, call);
+        choose::choose(node, call, &excluded, must_place).await
     }
 
     fn count_outcome<P: Protocol>(&self, node: &Node<P>, call: &Call, outcome: &'static str) {
@@ -303,6 +284,7 @@
         }
         self.progress.enter(Stage::Answered, None);
         self.record.add_run();
+        self.ran.push(registration.name.clone());
         self.spend_charge();
         Ok((answer, reply))
     }
@@ -405,37 +387,11 @@
         }
     }
 
-    /// Records that a stream leaves an endpoint which may still serve it; it is placed for as long as
-    /// its caller waits, also there.
-    pub fn add_departure<P: Protocol>(
-        &mut self,
-        node: &Node<P>,
-        call: &Call,
-        selection: &Selection,
-        failure: Failure,
-    ) {
-        self.add_truncation(node, call, selection, failure);
-        self.is_moving = true;
-        self.free_retries = FREE_RETRIES;
-    }
-
-    /// Whether the stream has left an endpoint that may still serve it, and none has gone on with it.
-    pub fn is_moving(&self) -> bool {
-        self.is_moving
-    }
-
-    /// Whether a stream that an endpoint answers may continue at another one, and return if that one
-    /// rejects it.
-    pub fn may_move(&self, call: &Call) -> bool {
-        call.is_repeatable()
-            && self.record.runs() < call.route.max_runs
-            && self.record.attempts() + 1 < MAX_ATTEMPTS
-    }
-
-    /// Whether another attempt cannot run the request twice, or may.
+    /// Whether another attempt cannot run the request twice, or may. A stream that is moving may return
+    /// to an endpoint that has run it.
     fn is_safe(&self, call: &Call) -> bool {
-        self.record.verdict() == Verdict::NotRun
-            || (call.is_repeatable() && self.record.runs() < call.route.max_runs)
+        let has_run_left = self.record.runs() < call.route.max_runs || self.is_moving;
+        self.record.verdict() == Verdict::NotRun || (call.is_repeatable() && has_run_left)
     }
 
     /// Whether another attempt is allowed.
@@ -464,6 +420,7 @@
     /// Records a complete answer with an error status; the endpoint is not tried again.
     pub fn add_error_answer(&mut self, selection: &Selection, fault: Fault) {
         let registration = &selection.endpoint.registration;
+        self.progress.enter(Stage::Placing, None);
         let failure = Failure {
             address: registration.address,
             verdict: Verdict::Ran,
--- a/crates/router/src/attempt/ahead.rs
+++ b/crates/router/src/attempt/ahead.rs
@@ -62,40 +62,57 @@
         if call.time_left() < MIN_TIME_LEFT || !node.has_retry_left(&call.service) {
             return no_retry();
         }
+        // It might wait elsewhere until the stop ends, though the present endpoint would go on in time.
+        if max_reservation(call).is_none() && node.is_stopping() {
+            return Err("this instance stops, and no room is reserved".to_owned());
+        }
+        let excluded = vec![present.clone()];
+        let placed = self.find_room(node, call, excluded).await?;
+        if !node.try_charge_retry(&call.service) {
+            return no_retry();
+        }
+        self.placed = Some(placed);
+        Ok(())
+    }
+
+    /// Chooses an endpoint that is none of `excluded` and has not failed the request, and has it reserve
+    /// room or connects to it.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none now.
+    pub(super) async fn find_room<P: Protocol>(
+        &self,
+        node: &Node<P>,
+        call: &Call,
+        mut excluded: Vec<Arc<str>>,
+    ) -> Result<Placed, String> {
         let trial = quarantine::check(node, call).await;
         let trial = trial.map_err(|refusal| refusal.message)?;
-        let mut tried = self.record.tried().to_vec();
-        tried.push(present.clone());
+        excluded.extend(self.excluded(node, call));
         let mut asked = 0;
-        let (selection, reservation) = loop {
-            let selection = choose::choose(node, call, &tried, true).await;
+        loop {
+            let selection = choose::choose(node, call, &excluded, true).await;
             let selection = selection.map_err(|refusal| refusal.message)?;
             asked += 1;
-            match reserve(node, call, &selection).await {
-                Ok(reservation) => break (selection, reservation),
-                Err(failure) if asked < MAX_ASKED => {
-                    record_refusal(node, &selection, &failure);
-                    tried.push(selection.endpoint.registration.name.clone());
-                }
-                Err(failure) => {
-                    record_refusal(node, &selection, &failure);
-                    return Err(failure.to_string());
+            let failure = match reserve(node, call, &selection).await {
+                Ok(reservation) => {
+                    return Ok(Placed {
+                        selection,
+                        trial,
+                        reservation,
+                    });
                 }
+                Err(failure) => failure,
+            };
+            if failure.fault.is_unconnected() {
+                selection.record_unreachable(node, &failure.fault);
             }
-        };
-        // It might wait there until the stop ends, though the present endpoint would go on in time.
-        if reservation.is_none() && node.is_stopping() {
-            return Err("this instance stops, and no room is reserved".to_owned());
-        }
-        if !node.try_charge_retry(&call.service) {
-            return no_retry();
+            if asked == MAX_ASKED {
+                return Err(failure.to_string());
+            }
+            excluded.push(selection.endpoint.registration.name.clone());
         }
-        self.placed = Some(Placed {
-            selection,
-            trial,
-            reservation,
-        });
-        Ok(())
     }
 }
 
@@ -150,20 +167,3 @@
     let service = call.catalog.service(&call.service)?;
     service.engine?.max_reservation
 }
-
-/// Records why a stream does not go on at an endpoint. The request itself has not been sent.
-fn record_refusal<P: Protocol>(node: &Node<P>, selection: &Selection, failure: &Failure) {
-    match failure.fault {
-        Fault::ErrorStatus(_) => {
-            selection.record_full(node);
-            selection.record_rejection(node);
-        }
-        Fault::Connect(_) | Fault::Unreachable => {
-            selection.record_unreachable(node, &failure.fault);
-        }
-        _ => selection.record_failure(node),
-    }
-    if let Some(track) = &selection.track {
-        track.record_failure(failure);
-    }
-}
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -170,6 +170,10 @@
         } = answered;
         if !answer.head.status.is_success() {
             match buffered::collect_answer(node, call, &selection, answer).await {
+                Ok((head, _)) if is_moving => {
+                    let fault = Fault::ErrorStatus(head.status.as_u16());
+                    attempts.add_error_answer(&selection, fault);
+                }
                 Ok((head, body)) => return Ok(Opening::Error(head, body)),
                 Err(failure) => attempts.add_truncation(node, call, &selection, failure),
             }
@@ -188,6 +192,7 @@
             };
             match first {
                 Ok(Some(first)) => {
+                    attempts.settle();
                     upstream.selection.record_first_token(node, call.class());
                     if let Some(track) = &upstream.selection.track {
                         track.record_answer(answer.head.status);
@@ -208,7 +213,7 @@
                 Err(failure) => attempts.add_truncation(node, call, &upstream.selection, failure),
             }
         }
-        if !attempts.may_retry(node, call) {
+        if !attempts.may_go_on(node, call).await {
             return Err(attempts.final_refusal(call));
         }
     }
--- a/crates/router/src/stream/departure.rs
+++ b/crates/router/src/stream/departure.rs
@@ -71,7 +71,8 @@
         else {
             return Next::Events(Ok(None));
         };
-        let may_move = attempts.may_move(call);
+        // Without the id of an event, another endpoint would begin anew.
+        let may_move = last_event.is_some() && attempts.may_move(call);
         let stall = upstream.fail(Fault::Timeout);
         let overdue = upstream.selection.load_overdue(node);
         let present = upstream.name().clone();
