--- a/crates/router/tests/ingress.rs
+++ b/crates/router/tests/ingress.rs
@@ -73,6 +73,17 @@
     assert_eq!(connections.admit(3).unwrap_err(), Closure::Unaccepted);
 }
 
+/// Guards against a configuration with larger heads, and so fewer connections, under which no new
+/// connection is admitted for as long as idle ones stay.
+#[test]
+fn new_connections_are_admitted_after_the_bound_is_lowered() {
+    let connections = Arc::new(Connections::default());
+    let idle: Vec<_> = (0..40).map(|_| connections.admit(40).unwrap()).collect();
+    assert!(idle.iter().all(|(_, closure)| closure.is_none()));
+    let admitted = connections.admit(20).map(|(_, closure)| closure);
+    assert_eq!(admitted, Ok(Some(Closure::Evicted)));
+}
+
 /// Guards against unfinished requests that stay, and against idle or running ones that are cut.
 #[test]
 fn connections_beyond_their_times_are_cut() {
