Test for a request whose service panics

A panic ends the task of a connection, so that its caller gets neither an answer nor a refusal; nothing catches it.

--- a/crates/router/tests/serve.rs
+++ b/crates/router/tests/serve.rs
@@ -16,6 +16,7 @@
 };
 
 use http::{
+    Method,
     Request,
     Response, //
 };
@@ -59,7 +60,7 @@
 /// Timeout of any wait.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-/// A plane that answers each request at once.
+/// A plane that answers each request at once, and has a fault in those to delete.
 struct Plane {
     /// Size of the answers, in bytes. Large ones ask the caller to close the connection.
     bytes: usize,
@@ -71,8 +72,9 @@
 }
 
 impl Service for Plane {
-    async fn answer(&self, _: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         self.begun.notify_one();
+        assert_ne!(request.method(), Method::DELETE, "a fault of the service");
         Response::new(Body::full(vec![b'x'; self.bytes]))
     }
 
@@ -208,3 +210,15 @@
     let answer = String::from_utf8_lossy(&answer[..length]);
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+/// Guards against a fault met by one request that closes the connection of its caller without an
+/// answer.
+#[tokio::test]
+async fn a_request_whose_service_panics_gets_an_answer() {
+    let served = Served::start(0).await;
+    let request = "DELETE / HTTP/1.1\r\nhost: h\r\n\r\n";
+    let mut stream = served.send(request).await;
+    let mut answer = [0; 256];
+    let length = in_time(stream.read(&mut answer)).await.unwrap();
+    assert!(answer[..length].starts_with(b"HTTP/1.1 5"));
+}
