Bound the delay after a debt of any size

What callers saw: after one request of an enormous number of units, every further request of its workspace got no answer: its connection was closed.

Cause: the time in which such a debt accrues exceeds what a duration can express, and the bucket returned Duration::MAX for it. quota::charge added that to the clock, which panics.

Why it works: the bucket returns at most the longest delay that a datagram to another instance expresses, so that owners and others state the same one, and quota::charge compares the delay with the time left, without a sum.

The other sums with clocks were read: times of configurations and settings, deadlines and rests that callers and endpoints state, expected waits and the clock of the store are capped where they are read, and limits of endpoints add saturating. None can be reached by such a value.

--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -22,6 +22,9 @@
 /// Longest time ahead for which units are promised to urgent requests that were refused; not all of
 /// them come back.
 const MAX_PROMISED: Duration = Duration::from_secs(2);
+/// Longest delay after which a refused request is told to retry, the longest that datagrams express.
+/// Clocks cannot express sums with the time that a debt of any size takes to accrue.
+const MAX_DELAY: Duration = Duration::from_millis(u32::MAX as u64);
 /// Fraction of the tolerance that all instances together may spend before the owner leaves their
 /// parts to them.
 const ADVANCE_FRACTION: f64 = 0.25;
@@ -154,7 +157,7 @@
     /// # Errors
     ///
     /// The delay after which the request would be admitted if no other came before it; for an urgent
-    /// one, none but those that were refused before.
+    /// one, none but those that were refused before. At most 2^32 ms.
     pub fn charge(
         &mut self,
         now: Duration,
@@ -175,7 +178,7 @@
         }
         let time = |units: f64| {
             let seconds = units / share.rate.max(f64::MIN_POSITIVE);
-            Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+            Duration::try_from_secs_f64(seconds).map_or(MAX_DELAY, |time| time.min(MAX_DELAY))
         };
         let delay = time(reserve + 1.0 - self.level);
         if !urgent {
--- a/crates/policy/tests/share.rs
+++ b/crates/policy/tests/share.rs
@@ -49,6 +49,24 @@
     }
 }
 
+/// Guards against delays after debts of any size that clocks cannot add to the present time.
+#[test]
+fn the_delay_after_an_enormous_request_can_be_added_to_any_time() {
+    let uptime = Duration::from_secs(100 * 365 * 24 * 3600);
+    for (rate, cost) in [(0.5, u64::MAX as f64), (1e-300, 1e300), (0.0, 10.0)] {
+        for urgent in [false, true] {
+            let share = Share::whole(rate, 1.0, TOLERANCE);
+            let mut bucket = Bucket::new(uptime, share);
+            assert_eq!(bucket.charge(uptime, share, cost, urgent), Ok(()));
+            bucket.limit(-cost);
+            let share = Share { rate, ..share };
+            let delay = bucket.charge(uptime, share, 1.0, urgent).unwrap_err();
+            assert!(delay >= Duration::from_secs(1), "{delay:?}");
+            assert!(uptime.checked_add(delay).is_some(), "{delay:?}");
+        }
+    }
+}
+
 #[test]
 fn a_steady_rate_is_never_refused() {
     let share = Share::whole(10_000.0, 10_000.0, TOLERANCE);
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -295,7 +295,7 @@
     let end = clock::now() + patience;
     loop {
         match try_charge(node, workspace, units, urgent).await {
-            Err(exceeded) if clock::now() + exceeded.wait < end => {
+            Err(exceeded) if exceeded.wait < end.saturating_sub(clock::now()) => {
                 tokio::time::sleep(exceeded.wait).await;
             }
             charged => return charged,
