Let senders of streamed bodies say that they are complete

What callers saw: an answer that looks whole, with its last chunk, though the task that relayed it had panicked or was dropped in the middle. It neither went on nor could be told from a complete one.

Cause: the end of the sender counted as the complete end of a body. Any way in which a task ends drops its sender.

Why it works: Body::channel returns a sender of its own type, whose finish or abort says how the body ends; a drop without either aborts it. How it ends is stored before the channel closes, so the body finds it after the last chunk, and nothing waits for room to say it. The abort is returned one poll later, as before.

The test creates its body by the new interface and checks the same.

--- a/crates/damaskd/src/caller/relay.rs
+++ b/crates/damaskd/src/caller/relay.rs
@@ -23,7 +23,6 @@
     event,
     metrics::Sample, //
 };
-use tokio::sync::mpsc;
 
 use super::{
     Call,
@@ -35,7 +34,8 @@
 use crate::{
     http::{
         Abort,
-        Body, //
+        Body,
+        Sender, //
     },
     node::Node, //
 };
@@ -43,8 +43,6 @@
 /// Maximum number of chunks that are buffered for a slow caller.
 const MAX_BUFFERED_CHUNKS: usize = 16;
 
-type Channel = mpsc::Sender<Result<Bytes, Abort>>;
-
 /// Answers with a stream; a spawned task writes the chunks to it.
 pub fn stream(
     node: Arc<Node>,
@@ -53,8 +51,8 @@
     source: Source,
     permit: Permit,
 ) -> Response<Body> {
-    let (channel, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let mut response = Response::new(Body::channel(receiver));
+    let (sender, body) = Body::channel(MAX_BUFFERED_CHUNKS);
+    let mut response = Response::new(body);
     let headers = response.headers_mut();
     headers.insert(
         header::CONTENT_TYPE,
@@ -63,7 +61,7 @@
     if let Ok(id) = HeaderValue::from_str(&call.id) {
         headers.insert(REQUEST_ID, id);
     }
-    tokio::spawn(relay(node, call, prompt, source, permit, channel));
+    tokio::spawn(relay(node, call, prompt, source, permit, sender));
     response
 }
 
@@ -75,11 +73,14 @@
     prompt: Arc<Prompt>,
     mut source: Source,
     mut permit: Permit,
-    channel: Channel,
+    sender: Sender,
 ) {
     let first_token = call.arrived_at.elapsed();
-    let outcome = match forward(&call, &mut source, &mut permit, &channel).await {
-        Ok(true) => "ok",
+    let outcome = match forward(&call, &mut source, &mut permit, &sender).await {
+        Ok(true) => {
+            sender.finish();
+            "ok"
+        }
         Ok(false) => "caller_left",
         Err(refusal) => {
             emit!(
@@ -91,9 +92,8 @@
             );
             let text = format!("event: error\ndata: {}\n\n", refusal.to_json(&call.id));
             // Fails if the caller has disconnected.
-            channel.send(Ok(Bytes::from(text))).await.ok();
-            let abort = Abort(refusal.message.clone());
-            channel.send(Err(abort)).await.ok();
+            sender.send(Bytes::from(text)).await.ok();
+            sender.abort(Abort(refusal.message.clone()));
             refusal.code.as_str()
         }
     };
@@ -105,28 +105,28 @@
     call: &Call,
     source: &mut Source,
     permit: &mut Permit,
-    channel: &Channel,
+    sender: &Sender,
 ) -> Result<bool, Refusal> {
     loop {
         let next = tokio::select! {
             next = source.next() => next?,
-            () = channel.closed() => return Ok(false),
+            () = sender.closed() => return Ok(false),
         };
         let Some(chunk) = next else {
-            return Ok(send(channel, Bytes::from(format!("data: {DONE}\n\n"))).await);
+            return Ok(send(sender, Bytes::from(format!("data: {DONE}\n\n"))).await);
         };
         if let Some(usage) = chunk.usage {
             permit.settle(usage.total_tokens);
             source.record_usage(&usage);
         }
-        if !send(channel, encode(chunk, &call.id)).await {
+        if !send(sender, encode(chunk, &call.id)).await {
             return Ok(false);
         }
     }
 }
 
-async fn send(channel: &Channel, bytes: Bytes) -> bool {
-    channel.send(Ok(bytes)).await.is_ok()
+async fn send(sender: &Sender, bytes: Bytes) -> bool {
+    sender.send(bytes).await.is_ok()
 }
 
 /// Encodes the chunk as an event with the id of the caller's request, since the engine received
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -1,5 +1,6 @@
 //! Response bodies and the HTTP server that all planes share.
 
+mod channel;
 mod idle;
 mod serve;
 mod stream;
@@ -31,9 +32,14 @@
     Frame,
     Incoming, //
 };
-use tokio::sync::mpsc;
 
 pub use self::{
+    channel::{
+        Abort,
+        Channel,
+        Disconnected,
+        Sender, //
+    },
     serve::serve,
     stream::{
         Observed,
@@ -59,54 +65,20 @@
 /// far while callers send bodies that the former one allowed.
 const MIN_DISCARD_BYTES: usize = 32 << 20;
 
-/// Reason why a streamed body ends incomplete; the connection is closed.
-#[derive(Clone, Debug)]
-#[derive(thiserror::Error)]
-#[error("answer aborted: {0}")]
-pub struct Abort(pub String);
-
 /// Body of a response.
 #[derive(Debug)]
 pub enum Body {
     /// A body known in full.
     Full(Full<Bytes>),
-    /// A streamed body; it is complete when the sender is dropped.
+    /// A streamed body; it is complete if its sender finishes it.
     Channel(Channel),
 }
 
-/// A body whose chunks arrive by channel.
-#[derive(Debug)]
-pub struct Channel {
-    receiver: mpsc::Receiver<Result<Bytes, Abort>>,
-    /// Set when the body is to be aborted. hyper drops buffered data when a body fails, so the
-    /// failure is returned one poll later, after hyper had the chance to write the earlier chunks.
-    abort: Option<Abort>,
-}
-
-impl Channel {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
-        if let Some(abort) = self.abort.take() {
-            return Poll::Ready(Some(Err(abort)));
-        }
-        match std::task::ready!(self.receiver.poll_recv(cx)) {
-            Some(Ok(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-            Some(Err(abort)) => {
-                self.abort = Some(abort);
-                cx.waker().wake_by_ref();
-                Poll::Pending
-            }
-            None => Poll::Ready(None),
-        }
-    }
-}
-
 impl Body {
-    /// Creates a body whose chunks arrive by channel.
-    pub fn channel(receiver: mpsc::Receiver<Result<Bytes, Abort>>) -> Self {
-        Self::Channel(Channel {
-            receiver,
-            abort: None,
-        })
+    /// Creates a body whose chunks arrive by channel, of which it buffers up to `capacity`.
+    pub fn channel(capacity: usize) -> (Sender, Self) {
+        let (sender, channel) = Channel::new(capacity);
+        (sender, Self::Channel(channel))
     }
 
     /// Creates a body known in full.
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -40,7 +40,6 @@
     event,
     metrics::Sample, //
 };
-use tokio::sync::mpsc;
 
 use crate::{
     admit::Admission,
@@ -52,7 +51,8 @@
     choose::Selection,
     http::{
         Abort,
-        Body, //
+        Body,
+        Sender, //
     },
     node::Node,
     origin::{
@@ -140,8 +140,8 @@
         }
         call.origin = Some(origin);
     }
-    let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let mut response = Response::new(Body::channel(receiver));
+    let (chunks, body) = Body::channel(MAX_BUFFERED_CHUNKS);
+    let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = buffered::forwarded_headers::<P>(&head.headers);
     let relay = Relay {
@@ -306,7 +306,7 @@
 impl<P: Protocol> Relay<P> {
     /// Forwards events until the stream ends or the caller disconnects. A disconnect closes the
     /// connection to the endpoint, which cancels its work.
-    async fn run(mut self, first: Bytes, chunks: mpsc::Sender<Result<Bytes, Abort>>) {
+    async fn run(mut self, first: Bytes, chunks: Sender) {
         let first_event = self.call.arrived_at.elapsed();
         let node = self.node.clone();
         let forwarded = tokio::select! {
@@ -376,28 +376,19 @@
                 if let Some(upstream) = upstream {
                     upstream.lease.release();
                 }
+                chunks.finish();
             }
             None => {}
-            Some(abort) => {
-                // The endpoint does not wait until the caller has read the chunks before the abort.
-                drop(upstream);
-                drop(self);
-                // Sending fails only if the caller has disconnected.
-                chunks.send(Err(abort)).await.ok();
-            }
+            Some(abort) => chunks.abort(abort),
         }
     }
 
     /// Returns whether the complete stream was forwarded; `false` if the caller disconnected.
-    async fn forward_events(
-        &mut self,
-        first: Bytes,
-        chunks: &mpsc::Sender<Result<Bytes, Abort>>,
-    ) -> Result<bool, Refusal> {
+    async fn forward_events(&mut self, first: Bytes, chunks: &Sender) -> Result<bool, Refusal> {
         let mut events = first;
         loop {
             let deadline = self.call.deadline + LATE_EVENTS_TIMEOUT;
-            match tokio::time::timeout_at(deadline.into(), chunks.send(Ok(events))).await {
+            match tokio::time::timeout_at(deadline.into(), chunks.send(events)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return Ok(false),
                 Err(_) => return Err(self.attempts.final_refusal(&self.call)),
--- a/crates/router/tests/serve.rs
+++ b/crates/router/tests/serve.rs
@@ -45,7 +45,6 @@
     },
     sync::{
         Notify,
-        mpsc,
         watch, //
     },
     task::JoinHandle, //
@@ -180,16 +179,40 @@
 /// like the whole answer.
 #[tokio::test]
 async fn a_stream_whose_sender_panics_is_not_complete() {
-    let (chunks, receiver) = mpsc::channel::<Result<bytes::Bytes, Abort>>(4);
+    let (chunks, body) = Body::channel(4);
     let relay = tokio::spawn(async move {
-        chunks.send(Ok("id: 1\n\n".into())).await.unwrap();
+        chunks.send("id: 1\n\n".into()).await.unwrap();
         panic!("a fault of the relay");
     });
     assert!(relay.await.unwrap_err().is_panic());
-    let collected = in_time(Body::channel(receiver).collect()).await;
+    let collected = in_time(body.collect()).await;
     assert!(collected.is_err());
 }
 
+/// Guards against a relay that ends as it should and leaves the caller with what looks broken.
+#[tokio::test]
+async fn a_stream_is_complete_once_its_sender_has_finished_it() {
+    let (chunks, body) = Body::channel(4);
+    chunks.send("id: 1\n\n".into()).await.unwrap();
+    chunks.send("id: 2\n\n".into()).await.unwrap();
+    chunks.finish();
+    let collected = in_time(body.collect()).await.unwrap();
+    assert_eq!(collected.to_bytes(), "id: 1\n\nid: 2\n\n");
+}
+
+/// Guards against chunks that are lost since the body is aborted after them, and against an abort
+/// that callers do not see.
+#[tokio::test]
+async fn an_aborted_stream_has_all_chunks_and_no_end() {
+    let (chunks, mut body) = Body::channel(4);
+    chunks.send("id: 1\n\n".into()).await.unwrap();
+    chunks.abort(Abort("broken".to_owned()));
+    let first = in_time(body.frame()).await.unwrap().unwrap();
+    assert_eq!(first.into_data().unwrap(), "id: 1\n\n");
+    let end = in_time(body.frame()).await.unwrap();
+    assert_eq!(end.unwrap_err().to_string(), "answer aborted: broken");
+}
+
 /// Guards against a kept connection that refuses for good what a newer configuration allows: the bound
 /// of its heads was that of the configuration under which it was opened.
 #[tokio::test]
