Admit connections after their bound is lowered

What callers saw: after a configuration with larger heads, and so fewer connections, each new connection was closed unread for as long as more idle ones stayed open than the new bound and an eighth of it.

Cause: Connections::admit took all connections over the bound for closing ones, and admits no more while an eighth of the bound closes. None had been asked to close.

Why it works: of the connections over the bound, only as many count as are ordered to close. Under a bound that stays as it is, all over it are, so that nothing changes there.

Each admitted connection takes the place of one, so the number falls to the lower bound as idle ones leave, not by admissions.

--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -249,8 +249,13 @@
         let mut open = self.open.lock();
         let mut closure = None;
         if open.len() >= max {
-            let is_closing = open.len() >= max + (max / CLOSING_DIVISOR).max(1);
-            let victim = find_victim(&open).filter(|_| !is_closing);
+            let ordered = open
+                .iter()
+                .filter(|known| known.order.load(Ordering::Relaxed) != OPEN);
+            // A configuration that lowers `max` leaves connections over it that are not closing.
+            let closing = ordered.count().min(open.len() - max);
+            let may_close = closing < (max / CLOSING_DIVISOR).max(1);
+            let victim = find_victim(&open).filter(|_| may_close);
             let victim = victim.ok_or(Closure::Unaccepted)?;
             let is_idle = victim.phase() == IDLE;
             victim.order(if is_idle { CLOSING } else { CUT });
--- a/crates/router/tests/ingress.rs
+++ b/crates/router/tests/ingress.rs
@@ -84,6 +84,19 @@
     assert_eq!(admitted, Ok(Some(Closure::Evicted)));
 }
 
+/// Guards against many connections at once beyond the former bound.
+#[test]
+fn a_share_of_a_lowered_bound_closes_at_a_time() {
+    let connections = Arc::new(Connections::default());
+    let mut idle: Vec<_> = (0..40).map(|_| connections.admit(40).unwrap()).collect();
+    let admit = || connections.admit(16);
+    let _admitted: Vec<_> = (0..2).map(|_| admit().unwrap()).collect();
+    assert_eq!(admit().unwrap_err(), Closure::Unaccepted);
+    // The first ones have been idle longest.
+    idle.remove(0);
+    assert!(admit().is_ok());
+}
+
 /// Guards against unfinished requests that stay, and against idle or running ones that are cut.
 #[test]
 fn connections_beyond_their_times_are_cut() {
