Planned stop: ask the callers' plane for its end once

Seen by callers: requests that this instance relayed for another one were cut at nine tenths of the time, before the time for answers; the process panicked and wrote no STOPPED line.

Cause: the drain waits for the callers' plane, then for relayed connections. If one of these outlasts the drain, the handle of the plane, which has returned its result, is polled again, which panics.

Change: one function waits for both, skips a plane that has ended, and is used at both places, so that relayed connections get the time for answers, too.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -182,13 +182,7 @@
             }
             // Fails only if the callers' plane has already ended.
             self.stop.send(true).ok();
-            (&mut self.callers_plane).await.ok();
-            // Fails only if the semaphore is closed, which it never is.
-            self.node
-                .relayed
-                .acquire_many(relay::MAX_RELAYED)
-                .await
-                .ok();
+            self.ended().await;
         };
         let in_time = tokio::time::timeout(schedule.drain, drain).await.is_ok();
         let save = origin::write_unsaved(&self.node, table);
@@ -201,9 +195,10 @@
         }
         if !in_time {
             self.node.stop.end_requests();
-            let answered = &mut self.callers_plane;
             // Callers that do not read their answers have until then.
-            tokio::time::timeout(schedule.answer, answered).await.ok();
+            tokio::time::timeout(schedule.answer, self.ended())
+                .await
+                .ok();
         }
         let Busy { arriving, running } = self.node.ingress.connections.busy();
         emit_lifecycle!(
@@ -215,6 +210,18 @@
             running = running,
         );
     }
+
+    /// Waits until requests of callers and connections that are relayed for other instances have ended.
+    async fn ended(&mut self) {
+        // A handle that has returned its result panics if it is asked again.
+        if !self.callers_plane.is_finished() {
+            // Fails only if the plane has panicked, which the log says.
+            (&mut self.callers_plane).await.ok();
+        }
+        let relayed = &self.node.relayed;
+        // Fails only if the semaphore is closed, which it never is.
+        relayed.acquire_many(relay::MAX_RELAYED).await.ok();
+    }
 }
 
 fn serve<S: Service>(
