Planned stop: count the time for connections from its begin

Seen by callers: while the store is silent or its answers are lost, an instance accepted connections for longer than 3 s after SIGTERM, and cut at the end of its time what came then. Callers excuse a break only for what they sent soon after the signal.

Cause: the time for which connections are accepted began after two network calls, the announcement to the hubs and the write of the row.

Change: they run beside the schedule, and the records of streams are written until connections are no longer accepted, as before.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -6,6 +6,7 @@
 };
 
 use anyhow::Context;
+use futures::future::join;
 use platform::table::Watch;
 use telemetry::{
     emit,
@@ -22,7 +23,8 @@
         signal, //
     },
     sync::watch,
-    task::JoinHandle, //
+    task::JoinHandle,
+    time::Instant, //
 };
 
 use crate::{
@@ -168,21 +170,13 @@
     /// other requests with a refusal.
     async fn stop<W: Watch>(mut self, table: &W) {
         emit_lifecycle!(info, event::STOPPING, instance = self.node.config.name);
-        let schedule = self.node.begin_stop();
-        self.node.rollout_wakeup.notify_one();
+        let node = self.node.clone();
+        let schedule = node.begin_stop();
+        node.rollout_wakeup.notify_one();
+        let accepted_by = Instant::now() + schedule.accept;
         let drain = async {
-            exchange::announce_leaving(&self.node).await;
-            sync::write_row(&self.node, table).await;
-            let accept = tokio::time::sleep(schedule.accept);
-            tokio::pin!(accept);
-            // An instance may be killed while it stops.
-            tokio::select! {
-                () = origin::write_unsaved(&self.node, table) => accept.await,
-                () = &mut accept => {}
-            }
-            // Fails only if the callers' plane has already ended.
-            self.stop.send(true).ok();
-            self.ended().await;
+            let announced = announce(&node, table, accepted_by);
+            join(announced, self.drain(accepted_by)).await;
         };
         let in_time = tokio::time::timeout(schedule.drain, drain).await.is_ok();
         let save = origin::write_unsaved(&self.node, table);
@@ -211,6 +205,14 @@
         );
     }
 
+    /// Accepts connections until `accepted_by`, then waits until all that runs has ended.
+    async fn drain(&mut self, accepted_by: Instant) {
+        tokio::time::sleep_until(accepted_by).await;
+        // Fails only if the callers' plane has already ended.
+        self.stop.send(true).ok();
+        self.ended().await;
+    }
+
     /// Waits until requests of callers and connections that are relayed for other instances have ended.
     async fn ended(&mut self) {
         // A handle that has returned its result panics if it is asked again.
@@ -224,6 +226,16 @@
     }
 }
 
+/// Tells others that this instance leaves, and writes the records of streams until `until`, since an
+/// instance may be killed while it stops. The network may keep any of this for long.
+async fn announce<P: Protocol, W: Watch>(node: &Node<P>, table: &W, until: Instant) {
+    exchange::announce_leaving(node).await;
+    sync::write_row(node, table).await;
+    let save = origin::write_unsaved(node, table);
+    // What is not written by then is written when the running requests have ended.
+    tokio::time::timeout_at(until, save).await.ok();
+}
+
 fn serve<S: Service>(
     field: &str,
     address: SocketAddr,
