Planned stop: count all steps from one begin

Seen by callers: when the process was held up as SIGTERM came, or at the end of its stop, requests in progress got neither an answer nor a refusal, since the kill came first; and connections were accepted for longer than planned.

Cause: the steps were timeouts that each counted from the end of the one before, and the first from when the process noticed the signal.

Change: - The steps end at times from one begin, so that one that overruns shortens the next ones. Answers get their time even if nothing of it is left. - The begin is when the event loop last ran, if it was held up as the signal was noticed. It records that every 50 ms, but only after the runtime has read the signals that came with a hold-up: otherwise a late tick would hide it, or a signal long after a hold-up would count from before. - Only streams that have begun wait for the write of their records; all other requests are answered at the end of the drain.

--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -1,6 +1,9 @@
 //! Times of a planned stop: how long an instance takes work, and which requests it still begins.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use crate::delay::Delay;
 
@@ -15,6 +18,11 @@
 /// Fraction in which they are accepted at most, so that requests have time to end.
 const MAX_ACCEPT_FRACTION: f64 = 0.4;
 
+/// Interval at which an event loop records that it runs.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without a record after which an event loop counts as held up: one tick is missing.
+const HELD_UP_TIME: Duration = TICK_INTERVAL.saturating_mul(2);
+
 /// Times of a planned stop, from its begin.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Schedule {
@@ -40,6 +48,16 @@
     }
 }
 
+/// When a stop begins whose signal is noticed at `now` by an event loop that is known to have run at
+/// `ran_at`: a process that was held up in between may have got the signal at any time since then.
+pub fn begin(ran_at: Instant, now: Instant) -> Instant {
+    if now.saturating_duration_since(ran_at) >= HELD_UP_TIME {
+        ran_at
+    } else {
+        now
+    }
+}
+
 /// Whether a request may begin on an instance whose running requests must end within `time_left`, if
 /// requests of its kind have taken `taken` from their arrival to the end of their answers.
 ///
--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -1,11 +1,16 @@
 //! Planned stops: which requests an instance still begins, and its times.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use policy::{
     delay::Delay,
     stop::{
         Schedule,
+        TICK_INTERVAL,
+        begin,
         may_begin, //
     }, //
 };
@@ -38,6 +43,18 @@
     assert!(may_begin(Duration::ZERO, &Delay::default(), false));
 }
 
+/// Guards against a stop that counts its time from when a process that was held up notices the signal,
+/// and against one that begins before its signal in a process that runs.
+#[test]
+fn a_stop_begins_when_a_held_up_process_last_ran() {
+    let ran_at = Instant::now();
+    let held_up = ran_at + Duration::from_millis(900);
+    assert_eq!(begin(ran_at, held_up), ran_at);
+    for now in [ran_at, ran_at + TICK_INTERVAL] {
+        assert_eq!(begin(ran_at, now), now);
+    }
+}
+
 quickcheck! {
     /// All steps of a stop end before the kill, and connections are accepted for a part of the time
     /// in which requests may end.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -8,6 +8,7 @@
 use anyhow::Context;
 use futures::future::join;
 use platform::table::Watch;
+use policy::stop;
 use telemetry::{
     emit,
     emit_lifecycle,
@@ -19,12 +20,18 @@
         TcpSocket, //
     },
     signal::unix::{
+        Signal,
         SignalKind,
         signal, //
     },
     sync::watch,
     task::JoinHandle,
-    time::Instant, //
+    time::{
+        Instant,
+        MissedTickBehavior,
+        interval,
+        timeout_at, //
+    }, //
 };
 
 use crate::{
@@ -74,17 +81,35 @@
         let node = Arc::new(Node::<P>::new(config)?);
         let table = Counted::new(table(node.config.table), node.metrics.clone());
         let daemon = Daemon::start(node, &table)?;
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = reload.recv() => emit!(info, event::SETTINGS_FILE_CHANGED),
-            }
-        }
-        daemon.stop(&table).await;
+        let begun_at = terminated(&mut terminate, &mut reload).await;
+        daemon.stop(&table, begun_at).await;
         Ok(())
     })
 }
 
+/// Waits for SIGTERM; returns when the stop has begun, see [`stop::begin`].
+async fn terminated(terminate: &mut Signal, reload: &mut Signal) -> Instant {
+    let mut tick = interval(stop::TICK_INTERVAL);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ran_at = Instant::now();
+    loop {
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => break,
+            _ = reload.recv() => emit!(info, event::SETTINGS_FILE_CHANGED),
+            _ = tick.tick() => {
+                // The runtime may not have read a signal yet that came while the process was held up.
+                tokio::select! {
+                    biased;
+                    _ = terminate.recv() => break,
+                    () = tokio::task::yield_now() => ran_at = Instant::now(),
+                }
+            }
+        }
+    }
+    stop::begin(ran_at.into(), Instant::now().into()).into()
+}
+
 /// Logs panics, which end one task, beside what the process writes to standard error.
 fn log_panics() {
     let report = std::panic::take_hook();
@@ -168,31 +193,34 @@
     /// requests to end. What began the streams that were relayed is written to the table, so that
     /// other instances may go on with those that have not ended; these end without their rest, and
     /// other requests with a refusal.
-    async fn stop<W: Watch>(mut self, table: &W) {
+    ///
+    /// Each step ends at a time from the begin, so that one that overruns shortens the next ones.
+    async fn stop<W: Watch>(mut self, table: &W, begun_at: Instant) {
         emit_lifecycle!(info, event::STOPPING, instance = self.node.config.name);
         let node = self.node.clone();
-        let schedule = node.begin_stop();
+        let schedule = node.begin_stop(begun_at.into());
         node.rollout_wakeup.notify_one();
-        let accepted_by = Instant::now() + schedule.accept;
+        let accepted_by = begun_at + schedule.accept;
+        let drained_by = begun_at + schedule.drain;
+        let saved_by = drained_by + schedule.save;
         let drain = async {
             let announced = announce(&node, table, accepted_by);
             join(announced, self.drain(accepted_by)).await;
         };
-        let in_time = tokio::time::timeout(schedule.drain, drain).await.is_ok();
-        let save = origin::write_unsaved(&self.node, table);
-        if tokio::time::timeout(schedule.save, save).await.is_err() {
-            emit!(
-                warn,
-                event::STREAMS_UNSAVED,
-                instance = self.node.config.name
-            );
+        let in_time = timeout_at(drained_by, drain).await.is_ok();
+        if !in_time {
+            node.stop.end_requests();
+        }
+        let save = origin::write_unsaved(&node, table);
+        if timeout_at(saved_by, save).await.is_err() {
+            emit!(warn, event::STREAMS_UNSAVED, instance = node.config.name);
         }
         if !in_time {
-            self.node.stop.end_requests();
-            // Callers that do not read their answers have until then.
-            tokio::time::timeout(schedule.answer, self.ended())
-                .await
-                .ok();
+            node.stop.end_streams();
+            // Callers that do not read their answers have until then. Answers are sent even if the
+            // steps before have taken all of the time.
+            let answered_by = saved_by.max(Instant::now()) + schedule.answer;
+            timeout_at(answered_by, self.ended()).await.ok();
         }
         let Busy { arriving, running } = self.node.ingress.connections.busy();
         emit_lifecycle!(
@@ -233,7 +261,7 @@
     sync::write_row(node, table).await;
     let save = origin::write_unsaved(node, table);
     // What is not written by then is written when the running requests have ended.
-    tokio::time::timeout_at(until, save).await.ok();
+    timeout_at(until, save).await.ok();
 }
 
 fn serve<S: Service>(
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -9,7 +9,10 @@
             Ordering, //
         }, //
     },
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use arc_swap::{
@@ -246,10 +249,10 @@
         self.stop.has_begun()
     }
 
-    /// Begins a planned stop; returns its times.
-    pub fn begin_stop(&self) -> Schedule {
+    /// Begins a planned stop whose times count from `begun_at`; returns them.
+    pub fn begin_stop(&self, begun_at: Instant) -> Schedule {
         let schedule = Schedule::new(self.config.bounds.stop);
-        self.stop.begin(&schedule);
+        self.stop.begin(&schedule, begun_at);
         schedule
     }
 
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -31,6 +31,8 @@
     begun: OnceLock<Begun>,
     /// Whether the time of running requests has passed.
     is_over: watch::Sender<bool>,
+    /// Whether the time in which the records of streams are written has passed, too.
+    is_saved: watch::Sender<bool>,
 }
 
 /// A stop that has begun.
@@ -42,12 +44,13 @@
 }
 
 impl State {
-    /// Begins a stop.
-    pub fn begin(&self, schedule: &Schedule) {
+    /// Begins a stop whose times count from `begun_at`.
+    pub fn begin(&self, schedule: &Schedule, begun_at: Instant) {
+        let left = schedule.drain.saturating_sub(begun_at.elapsed());
         // A second signal changes nothing.
         let _ = self.begun.set(Begun {
-            at: Instant::now(),
-            drained_at: clock::now() + schedule.drain,
+            at: begun_at,
+            drained_at: clock::now() + left,
         });
     }
 
@@ -56,16 +59,24 @@
         self.begun.get().is_some()
     }
 
-    /// Ends all requests that still run.
+    /// Ends all requests that still run but streams that have begun.
     pub fn end_requests(&self) {
         self.is_over.send_replace(true);
     }
 
+    /// Ends the streams that have begun.
+    pub fn end_streams(&self) {
+        self.is_saved.send_replace(true);
+    }
+
     /// Waits until requests that still run must be answered as they are.
     pub async fn over(&self) {
-        let mut is_over = self.is_over.subscribe();
-        // Fails only if the sender is gone, which `self` holds.
-        is_over.wait_for(|is_over| *is_over).await.ok();
+        wait(&self.is_over).await;
+    }
+
+    /// Waits until streams that have begun must break off; other instances find their records by then.
+    pub async fn saved(&self) {
+        wait(&self.is_saved).await;
     }
 
     /// Time that running requests have left; `None` while no stop has begun.
@@ -80,6 +91,11 @@
     }
 }
 
+async fn wait(flag: &watch::Sender<bool>) {
+    // Fails only if the sender is gone, which is borrowed.
+    flag.subscribe().wait_for(|is_set| *is_set).await.ok();
+}
+
 /// Refuses a request that is not expected to end before this instance does.
 ///
 /// # Errors
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -311,7 +311,7 @@
         let node = self.node.clone();
         let forwarded = tokio::select! {
             forwarded = self.forward_events(first, &chunks) => forwarded,
-            () = node.stop.over() => {
+            () = node.stop.saved() => {
                 Err(self.attempts.cut_refusal(&node, &self.call, self.last_event))
             }
         };
