Planned stop: begin late requests only if they are known to end

Seen by callers: streams whose head or body came long after SIGTERM, on connections that were open before, were begun and cut at the end of the stop. Callers excuse that only for what they sent soon after the signal.

Cause: the time left is compared with the mean of the kind for requests that may be repeated, which half of them may exceed, and a kind of which nothing is known is begun at any time, even after the end of the drain.

Change: a request that is whole only after the time in which connections are accepted, and what had arrived by then was read, is begun if its deadline or the high estimate of its kind ends in time, and refused as not run otherwise. This also holds for one that takes up a stream. None begins after the end of the drain. Requests that are whole before keep the rule that they had.

--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -71,3 +71,10 @@
     };
     expected.is_none_or(|expected| expected <= time_left)
 }
+
+/// Same for a request that is whole only after the time in which connections are accepted: it begins only
+/// if it is known to end. Its caller does not expect this instance to break off, and has others to go to.
+pub fn may_begin_late(time_left: Duration, taken: &Delay) -> bool {
+    let expected = taken.upper_bound();
+    expected.is_some_and(|expected| expected <= time_left)
+}
--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -11,7 +11,8 @@
         Schedule,
         TICK_INTERVAL,
         begin,
-        may_begin, //
+        may_begin,
+        may_begin_late, //
     }, //
 };
 use quickcheck::quickcheck;
@@ -43,6 +44,17 @@
     assert!(may_begin(Duration::ZERO, &Delay::default(), false));
 }
 
+/// Guards against a late request that is begun and cut: one of a kind of which a part takes longer than
+/// this instance has left, or of which nothing is known.
+#[test]
+fn a_late_request_begins_only_if_it_is_known_to_end() {
+    let differing = taken(&[400, 1_600, 400, 1_600, 400, 1_600, 400, 1_600]);
+    assert!(!may_begin_late(Duration::from_millis(1_500), &differing));
+    assert!(may_begin_late(Duration::from_secs(6), &differing));
+    let unknown = Delay::default();
+    assert!(!may_begin_late(Duration::from_secs(60), &unknown));
+}
+
 /// Guards against a stop that counts its time from when a process that was held up notices the signal,
 /// and against one that begins before its signal in a process that runs.
 #[test]
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -110,6 +110,7 @@
         content,
         head,
         arrived_at: arrived,
+        whole_at: Instant::now(),
         deadline,
         catalog,
         route,
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -48,7 +48,7 @@
 };
 
 /// Time in which requests that have arrived are read before idle connections are closed.
-const LAST_READ_TIME: Duration = Duration::from_millis(100);
+pub const LAST_READ_TIME: Duration = Duration::from_millis(100);
 
 /// Largest head of a request where no configuration sets it, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -130,6 +130,7 @@
                 Err(stop::refusal())
             }
         }?;
+        stop::check_late(&self.0, &admission.call)?;
         let mut response = if admission.call.route.streams {
             stream::serve(&self.0, admission).await?
         } else {
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -68,6 +68,8 @@
     pub head: RequestHead,
     /// When the head was received.
     pub arrived_at: Instant,
+    /// When its body had been read.
+    pub whole_at: Instant,
     /// Deadline of the complete answer.
     pub deadline: Instant,
     /// The configuration in force when the request arrived.
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -8,14 +8,18 @@
     }, //
 };
 
-use policy::stop::{
-    self,
-    Schedule, //
+use policy::{
+    delay::Delay,
+    stop::{
+        self,
+        Schedule, //
+    }, //
 };
 use state::clock;
 use tokio::sync::watch;
 
 use crate::{
+    http::LAST_READ_TIME,
     node::Node,
     protocol::Protocol,
     refusal::{
@@ -39,6 +43,8 @@
 #[derive(Debug)]
 struct Begun {
     at: Instant,
+    /// When what has arrived by the end of the time for new connections is read.
+    read_by: Instant,
     /// Time at which running requests must have ended, by the local clock.
     drained_at: Duration,
 }
@@ -50,6 +56,7 @@
         // A second signal changes nothing.
         let _ = self.begun.set(Begun {
             at: begun_at,
+            read_by: begun_at + schedule.accept + LAST_READ_TIME,
             drained_at: clock::now() + left,
         });
     }
@@ -79,18 +86,38 @@
         wait(&self.is_saved).await;
     }
 
-    /// Time that running requests have left; `None` while no stop has begun.
-    fn time_left(&self) -> Option<Duration> {
-        let begun = self.begun.get()?;
-        Some(begun.drained_at.saturating_sub(clock::now()))
-    }
-
     /// How long after the begin of the stop a request arrived; `None` if it arrived before.
     pub fn time_since(&self, arrived_at: Instant) -> Option<Duration> {
         arrived_at.checked_duration_since(self.begun.get()?.at)
     }
 }
 
+impl Begun {
+    /// Time that running requests have left.
+    fn time_left(&self) -> Duration {
+        self.drained_at.saturating_sub(clock::now())
+    }
+
+    /// Whether a request was read whole only after the time in which connections are accepted.
+    fn is_late(&self, call: &Call) -> bool {
+        call.whole_at > self.read_by
+    }
+
+    /// Whether a request is expected to end in time, if those of its kind have taken `taken`.
+    fn may_begin(&self, call: &Call, taken: &Delay) -> bool {
+        let time_left = self.time_left();
+        if time_left.is_zero() {
+            return false;
+        }
+        let is_expected = if self.is_late(call) {
+            stop::may_begin_late(time_left, taken)
+        } else {
+            stop::may_begin(time_left, taken, call.is_repeatable())
+        };
+        is_expected || call.time_left() <= time_left
+    }
+}
+
 async fn wait(flag: &watch::Sender<bool>) {
     // Fails only if the sender is gone, which is borrowed.
     flag.subscribe().wait_for(|is_set| *is_set).await.ok();
@@ -102,16 +129,30 @@
 ///
 /// The refusal that is sent to the caller.
 pub fn check<P: Protocol>(node: &Node<P>, call: &Call) -> Result<(), Refusal> {
-    let Some(time_left) = node.stop.time_left() else {
+    let Some(begun) = node.stop.begun.get() else {
         return Ok(());
     };
     let taken = node.observed.run_time(&call.service, call.class());
-    if call.time_left() <= time_left || stop::may_begin(time_left, &taken, call.is_repeatable()) {
+    if begun.may_begin(call, &taken) {
         return Ok(());
     }
     Err(refusal())
 }
 
+/// Same for a request that has just been read, also for one that takes up a stream, if it comes late or
+/// the time of running requests has passed.
+///
+/// # Errors
+///
+/// The refusal that is sent to the caller.
+pub fn check_late<P: Protocol>(node: &Node<P>, call: &Call) -> Result<(), Refusal> {
+    let begun = node.stop.begun.get();
+    if begun.is_some_and(|begun| begun.is_late(call) || begun.time_left().is_zero()) {
+        return check(node, call);
+    }
+    Ok(())
+}
+
 /// The refusal of a request that has not begun.
 pub fn refusal() -> Refusal {
     let message = "this instance stops; use another one that the directory names";
