Planned stop: an answer that is ready goes out

Seen by callers: 502 `stopping`, or a stream that breaks off, although the answer or the end of the stream was there as the stop ended.

Cause: the selects between an answer and the end of the stop poll their branches in random order, so that of two that are ready one is dropped at random.

Change: the answer is polled first, at all four places: arriving requests, buffered answers, the opening of streams and their events. Streams whose events are always ready still end, since they wait for a bounded channel and for what their caller has read; none outlasts the time for answers.

Evidence: no test fails without it.

--- a/crates/router/src/buffered.rs
+++ b/crates/router/src/buffered.rs
@@ -55,6 +55,7 @@
     let Admission { call, charge } = admission;
     let mut attempts = Attempts::new(charge);
     tokio::select! {
+        biased;
         served = serve_call(node, &call, &mut attempts) => served,
         () = node.stop.over() => Err(attempts.cut_refusal(node, &call, None)),
     }
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -117,6 +117,7 @@
         *id = Some(head.id.clone());
         let request = Request::from_parts(parts, body);
         let admission = tokio::select! {
+            biased;
             admission = admit::accept(&self.0, head, request, connection) => admission,
             () = self.0.stop.over() => {
                 emit_lifecycle!(
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -126,6 +126,7 @@
     let mut attempts = Attempts::new(charge);
     let mut last_event = call.head.last_event;
     let opening = tokio::select! {
+        biased;
         opening = open_stream(node, &call, &mut attempts, &mut last_event) => opening,
         () = node.stop.over() => Err(attempts.cut_refusal(node, &call, call.head.last_event)),
     }?;
@@ -310,6 +311,7 @@
         let first_event = self.call.arrived_at.elapsed();
         let node = self.node.clone();
         let forwarded = tokio::select! {
+            biased;
             forwarded = self.forward_events(first, &chunks) => forwarded,
             () = node.stop.saved() => {
                 Err(self.attempts.cut_refusal(&node, &self.call, self.last_event))
