--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -1,12 +1,18 @@
 //! Planned stops: which requests an instance still begins, and its times.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use policy::{
     delay::Delay,
     stop::{
         Schedule,
-        may_begin, //
+        TICK_INTERVAL,
+        begin,
+        may_begin,
+        may_begin_late, //
     }, //
 };
 use quickcheck::quickcheck;
@@ -38,6 +44,29 @@
     assert!(may_begin(Duration::ZERO, &Delay::default(), false));
 }
 
+/// Guards against a late request that is begun and cut: one of a kind of which a part takes longer than
+/// this instance has left, or of which nothing is known.
+#[test]
+fn a_late_request_begins_only_if_it_is_known_to_end() {
+    let differing = taken(&[400, 1_600, 400, 1_600, 400, 1_600, 400, 1_600]);
+    assert!(!may_begin_late(Duration::from_millis(1_500), &differing));
+    assert!(may_begin_late(Duration::from_secs(6), &differing));
+    let unknown = Delay::default();
+    assert!(!may_begin_late(Duration::from_secs(60), &unknown));
+}
+
+/// Guards against a stop that counts its time from when a process that was held up notices the signal,
+/// and against one that begins before its signal in a process that runs.
+#[test]
+fn a_stop_begins_when_a_held_up_process_last_ran() {
+    let ran_at = Instant::now();
+    let held_up = ran_at + Duration::from_millis(900);
+    assert_eq!(begin(ran_at, held_up), ran_at);
+    for now in [ran_at, ran_at + TICK_INTERVAL] {
+        assert_eq!(begin(ran_at, now), now);
+    }
+}
+
 quickcheck! {
     /// All steps of a stop end before the kill, and connections are accepted for a part of the time
     /// in which requests may end.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -6,7 +6,9 @@
 };
 
 use anyhow::Context;
+use futures::future::join;
 use platform::table::Watch;
+use policy::stop;
 use telemetry::{
     emit,
     emit_lifecycle,
@@ -18,11 +20,18 @@
         TcpSocket, //
     },
     signal::unix::{
+        Signal,
         SignalKind,
         signal, //
     },
     sync::watch,
-    task::JoinHandle, //
+    task::JoinHandle,
+    time::{
+        Instant,
+        MissedTickBehavior,
+        interval,
+        timeout_at, //
+    }, //
 };
 
 use crate::{
@@ -72,17 +81,35 @@
         let node = Arc::new(Node::<P>::new(config)?);
         let table = Counted::new(table(node.config.table), node.metrics.clone());
         let daemon = Daemon::start(node, &table)?;
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = reload.recv() => emit!(info, event::SETTINGS_FILE_CHANGED),
-            }
-        }
-        daemon.stop(&table).await;
+        let begun_at = terminated(&mut terminate, &mut reload).await;
+        daemon.stop(&table, begun_at).await;
         Ok(())
     })
 }
 
+/// Waits for SIGTERM; returns when the stop has begun, see [`stop::begin`].
+async fn terminated(terminate: &mut Signal, reload: &mut Signal) -> Instant {
+    let mut tick = interval(stop::TICK_INTERVAL);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ran_at = Instant::now();
+    loop {
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => break,
+            _ = reload.recv() => emit!(info, event::SETTINGS_FILE_CHANGED),
+            _ = tick.tick() => {
+                // The runtime may not have read a signal yet that came while the process was held up.
+                tokio::select! {
+                    biased;
+                    _ = terminate.recv() => break,
+                    () = tokio::task::yield_now() => ran_at = Instant::now(),
+                }
+            }
+        }
+    }
+    stop::begin(ran_at.into(), Instant::now().into()).into()
+}
+
 /// Logs panics, which end one task, beside what the process writes to standard error.
 fn log_panics() {
     let report = std::panic::take_hook();
@@ -166,44 +193,34 @@
     /// requests to end. What began the streams that were relayed is written to the table, so that
     /// other instances may go on with those that have not ended; these end without their rest, and
     /// other requests with a refusal.
-    async fn stop<W: Watch>(mut self, table: &W) {
+    ///
+    /// Each step ends at a time from the begin, so that one that overruns shortens the next ones.
+    async fn stop<W: Watch>(mut self, table: &W, begun_at: Instant) {
         emit_lifecycle!(info, event::STOPPING, instance = self.node.config.name);
-        let schedule = self.node.begin_stop();
-        self.node.rollout_wakeup.notify_one();
+        let node = self.node.clone();
+        let schedule = node.begin_stop(begun_at.into());
+        node.rollout_wakeup.notify_one();
+        let accepted_by = begun_at + schedule.accept;
+        let drained_by = begun_at + schedule.drain;
+        let saved_by = drained_by + schedule.save;
         let drain = async {
-            exchange::announce_leaving(&self.node).await;
-            sync::write_row(&self.node, table).await;
-            let accept = tokio::time::sleep(schedule.accept);
-            tokio::pin!(accept);
-            // An instance may be killed while it stops.
-            tokio::select! {
-                () = origin::write_unsaved(&self.node, table) => accept.await,
-                () = &mut accept => {}
-            }
-            // Fails only if the callers' plane has already ended.
-            self.stop.send(true).ok();
-            (&mut self.callers_plane).await.ok();
-            // Fails only if the semaphore is closed, which it never is.
-            self.node
-                .relayed
-                .acquire_many(relay::MAX_RELAYED)
-                .await
-                .ok();
+            let announced = announce(&node, table, accepted_by);
+            join(announced, self.drain(accepted_by)).await;
         };
-        let in_time = tokio::time::timeout(schedule.drain, drain).await.is_ok();
-        let save = origin::write_unsaved(&self.node, table);
-        if tokio::time::timeout(schedule.save, save).await.is_err() {
-            emit!(
-                warn,
-                event::STREAMS_UNSAVED,
-                instance = self.node.config.name
-            );
+        let in_time = timeout_at(drained_by, drain).await.is_ok();
+        if !in_time {
+            node.stop.end_requests();
+        }
+        let save = origin::write_unsaved(&node, table);
+        if timeout_at(saved_by, save).await.is_err() {
+            emit!(warn, event::STREAMS_UNSAVED, instance = node.config.name);
         }
         if !in_time {
-            self.node.stop.end_requests();
-            let answered = &mut self.callers_plane;
-            // Callers that do not read their answers have until then.
-            tokio::time::timeout(schedule.answer, answered).await.ok();
+            node.stop.end_streams();
+            // Callers that do not read their answers have until then. Answers are sent even if the
+            // steps before have taken all of the time.
+            let answered_by = saved_by.max(Instant::now()) + schedule.answer;
+            timeout_at(answered_by, self.ended()).await.ok();
         }
         let Busy { arriving, running } = self.node.ingress.connections.busy();
         emit_lifecycle!(
@@ -215,6 +232,36 @@
             running = running,
         );
     }
+
+    /// Accepts connections until `accepted_by`, then waits until all that runs has ended.
+    async fn drain(&mut self, accepted_by: Instant) {
+        tokio::time::sleep_until(accepted_by).await;
+        // Fails only if the callers' plane has already ended.
+        self.stop.send(true).ok();
+        self.ended().await;
+    }
+
+    /// Waits until requests of callers and connections that are relayed for other instances have ended.
+    async fn ended(&mut self) {
+        // A handle that has returned its result panics if it is asked again.
+        if !self.callers_plane.is_finished() {
+            // Fails only if the plane has panicked, which the log says.
+            (&mut self.callers_plane).await.ok();
+        }
+        let relayed = &self.node.relayed;
+        // Fails only if the semaphore is closed, which it never is.
+        relayed.acquire_many(relay::MAX_RELAYED).await.ok();
+    }
+}
+
+/// Tells others that this instance leaves, and writes the records of streams until `until`, since an
+/// instance may be killed while it stops. The network may keep any of this for long.
+async fn announce<P: Protocol, W: Watch>(node: &Node<P>, table: &W, until: Instant) {
+    exchange::announce_leaving(node).await;
+    sync::write_row(node, table).await;
+    let save = origin::write_unsaved(node, table);
+    // What is not written by then is written when the running requests have ended.
+    timeout_at(until, save).await.ok();
 }
 
 fn serve<S: Service>(
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -117,6 +117,7 @@
         *id = Some(head.id.clone());
         let request = Request::from_parts(parts, body);
         let admission = tokio::select! {
+            biased;
             admission = admit::accept(&self.0, head, request, connection) => admission,
             () = self.0.stop.over() => {
                 emit_lifecycle!(
@@ -130,6 +131,7 @@
                 Err(stop::refusal())
             }
         }?;
+        stop::check_late(&self.0, &admission.call)?;
         let mut response = if admission.call.route.streams {
             stream::serve(&self.0, admission).await?
         } else {
