endpoint: read an answer that arrived although the rest of its request could not be written

Callers saw: 502 or a stream that is cut off, although the endpoint had sent a whole answer, or a rejection that says that the request has not run, and then closed the connection without reading the rest of a long body.

Cause: the reset lets the next write fail, and hyper drops the connection at once, with what has arrived and was not read.

Change: the transport under hyper keeps an error of writing, takes the rest of the request as written, reads on, and ends the input with this error. An answer without a length, or one that is not complete, still fails, with the verdict MayHaveRun as before. A connection with such an error is never ready again: the flag is set before hyper takes the request for written, so before its sender can become ready.

--- a/crates/endpoint/src/connection.rs
+++ b/crates/endpoint/src/connection.rs
@@ -5,6 +5,7 @@
     sync::{
         Arc,
         atomic::{
+            AtomicBool,
             AtomicU32,
             Ordering, //
         }, //
@@ -73,6 +74,8 @@
 pub struct Connection {
     target: Target,
     is_relayed: bool,
+    /// Whether a part of a request could not be written.
+    is_broken: Arc<AtomicBool>,
     id_header: HeaderName,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -138,9 +141,11 @@
     /// Always with [`Verdict::NotRun`], since nothing was sent.
     pub async fn over(target: Target, link: Link) -> Result<Self, Failure> {
         let is_relayed = matches!(link, Link::Relayed(_));
+        let transport = Transport::new(link);
+        let is_broken = transport.broken();
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(Transport::new(link)))
+            .handshake(TokioIo::new(transport))
             .await
             .map_err(|error| Failure {
                 address: target.address,
@@ -152,6 +157,7 @@
         Ok(Self {
             target,
             is_relayed,
+            is_broken,
             id_header: HeaderName::from_static(REQUEST_ID),
             sender,
             task,
@@ -176,7 +182,7 @@
 
     /// Whether a request can be sent now.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+        self.sender.is_ready() && !self.is_broken.load(Ordering::Acquire)
     }
 
     /// Sends a request and waits for the head of the answer.
