--- a/crates/endpoint/src/connection.rs
+++ b/crates/endpoint/src/connection.rs
@@ -5,6 +5,7 @@
     sync::{
         Arc,
         atomic::{
+            AtomicBool,
             AtomicU32,
             Ordering, //
         }, //
@@ -41,7 +42,8 @@
     Fault,
     Link,
     REQUEST_ID,
-    Verdict, //
+    Verdict,
+    transport::Transport, //
 };
 
 /// Idle time before the kernel sends TCP keepalive probes; the kernel's minimum.
@@ -52,7 +54,7 @@
 /// keepalive probes are unanswered, whatever their number, or the receiver's buffer is full. The
 /// intervals between retransmissions double, so after a silence the next one may be as far away as
 /// the silence was long; hosts and processes that are sound may be silent for 2.5 s.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(5_500);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(5_500);
 /// Maximum number of informational answers before the answer to a request.
 const MAX_INFORMATIONAL: u32 = 64;
 /// Maximum size of the read buffer, and so of the head of an answer, in bytes.
@@ -72,6 +74,8 @@
 pub struct Connection {
     target: Target,
     is_relayed: bool,
+    /// Whether a part of a request could not be written.
+    is_broken: Arc<AtomicBool>,
     id_header: HeaderName,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -137,9 +141,11 @@
     /// Always with [`Verdict::NotRun`], since nothing was sent.
     pub async fn over(target: Target, link: Link) -> Result<Self, Failure> {
         let is_relayed = matches!(link, Link::Relayed(_));
+        let transport = Transport::new(link);
+        let is_broken = transport.broken();
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(link))
+            .handshake(TokioIo::new(transport))
             .await
             .map_err(|error| Failure {
                 address: target.address,
@@ -151,6 +157,7 @@
         Ok(Self {
             target,
             is_relayed,
+            is_broken,
             id_header: HeaderName::from_static(REQUEST_ID),
             sender,
             task,
@@ -175,7 +182,7 @@
 
     /// Whether a request can be sent now.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+        self.sender.is_ready() && !self.is_broken.load(Ordering::Acquire)
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -258,7 +265,19 @@
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
-    let timeout_ms = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    set_unacknowledged_timeout(stream, UNACKNOWLEDGED_TIMEOUT)
+}
+
+/// Sets the time without any acknowledgement after which the kernel closes a connection.
+///
+/// # Errors
+///
+/// Those of the system call.
+pub(crate) fn set_unacknowledged_timeout(
+    stream: &TcpStream,
+    timeout: Duration,
+) -> std::io::Result<()> {
+    let timeout_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
     sockopt::set_tcp_user_timeout(stream, timeout_ms)?;
     Ok(())
 }
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -7,10 +7,13 @@
 pub mod chat;
 pub mod connection;
 pub mod events;
+mod keep_alive;
 pub mod link;
 pub mod order;
 pub mod pool;
+mod stall;
 pub mod stream;
+mod transport;
 mod verdict;
 
 pub use connection::{
