Answers that have arrived when a stop ends are delivered

What callers saw: an instance that was held up over the end of its stop broke off 16 of 16 answers that had arrived whole in the meantime.

Cause: the end of the drain and the sockets become ready in the same turn of the runtime, and the requests are ended before anything is read.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -41,6 +41,7 @@
     exposure,
     http::{
         self,
+        LAST_READ_TIME,
         Service, //
     },
     ingress::{
@@ -209,6 +210,10 @@
         };
         let in_time = timeout_at(drained_by, drain).await.is_ok();
         if !in_time {
+            // A process that was held up has not read yet what arrived in the meantime.
+            if drained_by.elapsed() >= stop::TICK_INTERVAL {
+                tokio::time::sleep(LAST_READ_TIME).await;
+            }
             node.stop.end_requests();
         }
         let save = origin::write_unsaved(&node, table);
