A connection that is to close reads what has arrived first

Seen: a request was passed on and got no answer: its connection had refused an earlier one and was taken for one that sends a refused body, so it was cut to make room. On the way to the mending, the same request was closed unread on a connection that was idle for us.

Cause: the phase stayed at the body after a refusal, also when the discarded body had ended; a cut dropped a request that had been read whole by then; and connections were closed at once, though the runtime notices what has arrived only in its next turn. A process that was held up after the planned pause of a stop closed requests like that, too.

Change: an answered request whose body still arrives has a phase of its own, which http::discard ends. The number of the request keeps that from touching the next one. A cut holds for the state in which it was ordered. Each connection reads for 10 ms after the order before it closes; the runtime handles sockets before timers in a turn, so that what arrived while the process was held up is read.

--- a/crates/damaskd/src/caller/mod.rs
+++ b/crates/damaskd/src/caller/mod.rs
@@ -44,7 +44,8 @@
     http::MAX_HEAD_BYTES,
     ingress::{
         Bounds,
-        Closure, //
+        Closure,
+        Connection, //
     }, //
 };
 use settings::{
@@ -149,6 +150,15 @@
 
 impl Service for Plane {
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        self.answer_on(request, &Arc::default()).await
+    }
+
+    async fn answer_on(
+        &self,
+        request: Request<Incoming>,
+        connection: &Arc<Connection>,
+    ) -> Response<Body> {
+        connection.set_whole();
         let call = Call {
             id: self.node.request_id(),
             arrived_at: Instant::now(),
@@ -160,7 +170,8 @@
         match self.route(&call, request).await {
             Ok(response) => response,
             Err(refusal) => {
-                discard(body, self.node.config.limits.max_body_bytes);
+                let max_bytes = self.node.config.limits.max_body_bytes;
+                discard(body, max_bytes, connection);
                 self.refuse(&call, &refusal)
             }
         }
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -74,14 +74,14 @@
     node: &Node<P>,
     head: RequestHead,
     request: Request<Incoming>,
-    connection: &Connection,
+    connection: &Arc<Connection>,
 ) -> Result<Admission, Refusal> {
     let arrived = Instant::now();
     let (parts, mut body) = request.into_parts();
     let authorized = match authorize(node, &head, &parts) {
         Ok(authorized) => authorized,
         Err(refusal) => {
-            discard(node, body);
+            discard(node, body, connection);
             return Err(refusal);
         }
     };
@@ -97,7 +97,7 @@
     let body = match read_body(&mut body, limit, deadline, &node.ingress.bodies).await {
         Ok(body) => body,
         Err(refusal) => {
-            discard(node, body);
+            discard(node, body, connection);
             return Err(refusal);
         }
     };
@@ -148,9 +148,10 @@
 }
 
 /// Reads on the body of a request that is refused while the body still arrives.
-pub fn discard<P: Protocol>(node: &Node<P>, body: Incoming) {
+pub fn discard<P: Protocol>(node: &Node<P>, body: Incoming, connection: &Arc<Connection>) {
     let limits = node.catalog.load().as_ref().map(|c| c.limits);
-    crate::http::discard(body, limits.unwrap_or_default().max_body_bytes);
+    let max_bytes = limits.unwrap_or_default().max_body_bytes;
+    crate::http::discard(body, max_bytes, connection);
 }
 
 fn find_route(
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -158,19 +158,27 @@
     response
 }
 
-/// Reads on the body of a request that is refused while the body still arrives. The caller may read
-/// the refusal only after it has sent the body, and would not get it from a connection that was
-/// closed meanwhile.
-pub fn discard(mut body: Incoming, max_body_bytes: usize) {
+/// Reads on the body of a request that is refused while the body still arrives, and records its end.
+/// The caller may read the refusal only after it has sent the body, and would not get it from a
+/// connection that was closed meanwhile.
+pub fn discard(mut body: Incoming, max_body_bytes: usize, connection: &Arc<Connection>) {
+    if body.is_end_stream() {
+        return connection.set_whole();
+    }
+    let arrival = connection.arrival();
     let mut bytes_left = max_body_bytes.max(MIN_DISCARD_BYTES);
     let discarded = async move {
-        while let Some(Ok(frame)) = body.frame().await {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return;
+            };
             let length = frame.data_ref().map_or(0, Bytes::len);
             let Some(rest) = bytes_left.checked_sub(length) else {
                 return;
             };
             bytes_left = rest;
         }
+        arrival.end();
     };
     tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, discarded));
 }
@@ -191,7 +199,7 @@
     fn answer_on(
         &self,
         request: Request<Incoming>,
-        connection: &Connection,
+        connection: &Arc<Connection>,
     ) -> impl Future<Output = Response<Body>> + Send {
         connection.set_whole();
         self.answer(request)
--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -2,11 +2,16 @@
 
 use std::{
     convert::Infallible,
+    future::poll_fn,
     pin::{
         Pin,
         pin, //
     },
     sync::Arc,
+    task::{
+        Poll,
+        ready, //
+    },
     time::Duration, //
 };
 
@@ -44,7 +49,8 @@
     time::{
         Instant,
         MissedTickBehavior,
-        interval, //
+        interval,
+        sleep, //
     }, //
 };
 
@@ -59,6 +65,7 @@
     Closure,
     Connection,
     Connections,
+    Due,
     Slot, //
 };
 
@@ -68,6 +75,9 @@
 const MAX_LATE_TICKS: u32 = 2;
 /// Shortest time between two lines of the log about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Time in which a connection that is to be closed reads on. The runtime notices what has arrived before it
+/// ends a timer, so that any time is enough, also for a process that was held up.
+const READ_TIME: Duration = Duration::from_millis(10);
 /// Smallest buffer of a connection, in bytes; hyper takes no smaller one.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -218,8 +228,8 @@
     Ok(response.map(|body| Tracked::new(body, connection)))
 }
 
-/// Drives a connection until it ends or is cut; `close` ends it once no request is in progress. A stop
-/// waits for the end of those with `_running`.
+/// Drives a connection until it ends or is cut; `close` ends it once no request is in progress, after
+/// what had arrived before was read. A stop waits for the end of those with `_running`.
 async fn drive<S: Service, C: Future<Output = hyper::Result<()>>>(
     connection: C,
     close: impl Fn(Pin<&mut C>),
@@ -228,7 +238,18 @@
     _running: Option<mpsc::Sender<Infallible>>,
 ) {
     let mut connection = pin!(connection);
+    let mut read_time = pin!(sleep(READ_TIME));
+    let mut is_closed = false;
     loop {
+        let due = poll_fn(|cx| {
+            if !slot.connection.is_closing() {
+                return Poll::Pending;
+            }
+            ready!(read_time.as_mut().poll(cx));
+            let due = slot.connection.due();
+            let due = due.filter(|due| *due == Due::Cut || !is_closed);
+            due.map_or(Poll::Pending, Poll::Ready)
+        });
         tokio::select! {
             biased;
             ended = connection.as_mut() => {
@@ -245,12 +266,16 @@
                 }
                 return;
             }
-            is_cut = slot.connection.ordered() => {
-                if is_cut {
+            () = slot.connection.ordered() => {
+                read_time.as_mut().reset(Instant::now() + READ_TIME);
+            }
+            due = due => {
+                if due == Due::Cut {
                     return;
                 }
+                is_closed = true;
+                close(connection.as_mut());
             }
         }
-        close(connection.as_mut());
     }
 }
--- a/crates/router/src/ingress.rs
+++ b/crates/router/src/ingress.rs
@@ -19,11 +19,13 @@
     read, //
 };
 pub use connection::{
+    Arrival,
     Bounds,
     Busy,
     Closure,
     Connection,
     Connections,
+    Due,
     Slot, //
 };
 pub use machine::{
--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -89,18 +89,38 @@
 const BODY: u8 = 2;
 /// A request was read whole and is in progress.
 const WHOLE: u8 = 3;
+/// A request was answered, and the rest of its body arrives, which nobody needs.
+const REST: u8 = 4;
+
+/// Bits of a state that hold the phase; the others number the request.
+const PHASE_BITS: u32 = 8;
+
+fn phase_of(state: u64) -> u8 {
+    state.to_le_bytes()[0]
+}
 
 /// The connection stays open.
 const OPEN: u8 = 0;
 /// It closes once no request is in progress.
 const CLOSING: u8 = 1;
-/// It is closed at once.
+/// It is closed at once, unless its state has changed since.
 const CUT: u8 = 2;
 
+/// How a connection is to close.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Due {
+    /// Once no request is in progress.
+    Close,
+    /// At once.
+    Cut,
+}
+
 /// What is known of one connection.
 #[derive(Debug, Default)]
 pub struct Connection {
-    phase: AtomicU8,
+    /// Number of the request and its phase, which may change in another task while the next request
+    /// begins.
+    state: AtomicU64,
     /// Start of the phase, or the last byte of a body, in milliseconds.
     since_ms: AtomicU64,
     /// Since when written bytes are not taken, in milliseconds; 0 if they are.
@@ -109,18 +129,33 @@
     is_ahead: AtomicBool,
     order: AtomicU8,
     ordered_ms: AtomicU64,
-    /// Notified when the order changes.
+    /// State in which the connection was to be cut.
+    cut_state: AtomicU64,
+    /// Notified when the order changes, and when a discarded body has ended.
     wake: Notify,
 }
 
 impl Connection {
-    fn enter(&self, phase: u8) {
-        self.phase.store(phase, Ordering::Relaxed);
-        self.since_ms.store(now_ms(), Ordering::Relaxed);
+    fn state(&self) -> u64 {
+        self.state.load(Ordering::Relaxed)
     }
 
     fn phase(&self) -> u8 {
-        self.phase.load(Ordering::Relaxed)
+        phase_of(self.state())
+    }
+
+    /// Enters a phase of the present request, if `next` gives one for its state.
+    fn advance(&self, next: impl Fn(u64) -> Option<u8>) {
+        let advanced =
+            |state| next(state).map(|next| state >> PHASE_BITS << PHASE_BITS | u64::from(next));
+        let (order, now) = (Ordering::Relaxed, now_ms());
+        if self.state.fetch_update(order, order, advanced).is_ok() {
+            self.since_ms.store(now, Ordering::Relaxed);
+        }
+    }
+
+    fn enter(&self, phase: u8) {
+        self.advance(|_| Some(phase));
     }
 
     /// Records bytes that were read. Empty lines before a request do not begin its head: HTTP allows
@@ -129,7 +164,7 @@
         let has_head = || bytes.iter().any(|byte| !b"\r\n".contains(byte));
         match self.phase() {
             IDLE if has_head() => self.enter(HEAD),
-            BODY => self.since_ms.store(now_ms(), Ordering::Relaxed),
+            BODY | REST => self.since_ms.store(now_ms(), Ordering::Relaxed),
             WHOLE if has_head() => self.is_ahead.store(true, Ordering::Relaxed),
             _ => {}
         }
@@ -148,6 +183,7 @@
     /// Begins a request whose head was read.
     pub fn begin(&self, is_whole: bool) {
         self.is_ahead.store(false, Ordering::Relaxed);
+        self.state.fetch_add(1 << PHASE_BITS, Ordering::Relaxed);
         self.enter(if is_whole { WHOLE } else { BODY });
     }
 
@@ -156,10 +192,21 @@
         self.enter(WHOLE);
     }
 
-    /// Ends a request. While a body still arrives that nobody needs, the connection is not idle.
+    /// Ends the answer of a request. While its body still arrives, the connection is not idle.
     pub fn end(&self) {
-        if self.phase() == WHOLE {
-            self.enter(IDLE);
+        self.advance(|state| match phase_of(state) {
+            WHOLE => Some(IDLE),
+            BODY => Some(REST),
+            _ => None,
+        });
+    }
+
+    /// The body that arrives and is dropped, whose end is to be recorded.
+    pub fn arrival(self: &Arc<Self>) -> Arrival {
+        self.advance(|state| (phase_of(state) == WHOLE).then_some(BODY));
+        Arrival {
+            connection: self.clone(),
+            number: self.state() >> PHASE_BITS,
         }
     }
 
@@ -168,13 +215,32 @@
         self.phase() == HEAD || self.is_ahead.load(Ordering::Relaxed)
     }
 
-    /// Waits until the connection is to close; returns whether at once.
-    pub async fn ordered(&self) -> bool {
+    /// Whether the connection was asked to close.
+    pub fn is_closing(&self) -> bool {
+        self.order.load(Ordering::Relaxed) != OPEN
+    }
+
+    /// Waits until the connection is asked to close, or it was and a discarded body has ended.
+    pub async fn ordered(&self) {
         self.wake.notified().await;
-        self.order.load(Ordering::Relaxed) == CUT
+        while !self.is_closing() {
+            self.wake.notified().await;
+        }
+    }
+
+    /// How the connection is to close by now. What was to be cut and has changed its state closes like
+    /// an idle one: a request that was read whole may have been passed on.
+    pub fn due(&self) -> Option<Due> {
+        match self.order.load(Ordering::Relaxed) {
+            OPEN => return None,
+            CUT if self.state() == self.cut_state.load(Ordering::Relaxed) => return Some(Due::Cut),
+            _ => self.order.store(CLOSING, Ordering::Relaxed),
+        }
+        Some(Due::Close)
     }
 
     fn order(&self, order: u8) {
+        self.cut_state.store(self.state(), Ordering::Relaxed);
         self.order.store(order, Ordering::Relaxed);
         self.ordered_ms.store(now_ms(), Ordering::Relaxed);
         self.wake.notify_one();
@@ -191,7 +257,7 @@
         }
         match self.phase() {
             HEAD if is_over(&self.since_ms, bounds.head_time) => Some(Closure::HeadTimeout),
-            BODY if is_over(&self.since_ms, bounds.idle_time) => Some(Closure::BodyStalled),
+            BODY | REST if is_over(&self.since_ms, bounds.idle_time) => Some(Closure::BodyStalled),
             WHOLE => None,
             _ if self.order.load(Ordering::Relaxed) == CLOSING
                 && is_over(&self.ordered_ms, CLOSE_TIME) =>
@@ -203,6 +269,26 @@
     }
 }
 
+/// A body that arrives and is dropped.
+#[derive(Debug)]
+pub struct Arrival {
+    connection: Arc<Connection>,
+    number: u64,
+}
+
+impl Arrival {
+    /// Records that the body has ended. The connection may already have begun the next request.
+    pub fn end(self) {
+        self.connection.advance(|state| match phase_of(state) {
+            _ if state >> PHASE_BITS != self.number => None,
+            BODY => Some(WHOLE),
+            REST => Some(IDLE),
+            _ => None,
+        });
+        self.connection.wake.notify_one();
+    }
+}
+
 /// Numbers of connections with requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Busy {
@@ -280,7 +366,7 @@
         let mut busy = Busy::default();
         for connection in &*self.open.lock() {
             match connection.phase() {
-                HEAD | BODY => busy.arriving += 1,
+                HEAD | BODY | REST => busy.arriving += 1,
                 WHOLE => busy.running += 1,
                 _ => {}
             }
--- a/crates/router/src/plane.rs
+++ b/crates/router/src/plane.rs
@@ -101,7 +101,7 @@
     async fn serve(
         &self,
         request: Request<Incoming>,
-        connection: &Connection,
+        connection: &Arc<Connection>,
         id: &mut Option<HeaderValue>,
     ) -> Result<Response<Body>, Refusal> {
         let arrived_at = Instant::now();
@@ -110,7 +110,7 @@
         let head = match P::read_request(&parts) {
             Ok(head) => head,
             Err(error) => {
-                admit::discard(&self.0, body);
+                admit::discard(&self.0, body, connection);
                 return Err(Refusal::not_run(Reason::Malformed, error.to_string()));
             }
         };
@@ -193,13 +193,13 @@
 
 impl<P: Protocol> Service for Callers<P> {
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
-        self.answer_on(request, &Connection::default()).await
+        self.answer_on(request, &Arc::default()).await
     }
 
     async fn answer_on(
         &self,
         request: Request<Incoming>,
-        connection: &Connection,
+        connection: &Arc<Connection>,
     ) -> Response<Body> {
         let arrived_at = Instant::now();
         let mut id = None;
