The time of a body without progress counts only while it is read

Seen: requests whose bodies wait for memory of the instance were cut without an answer, as stalled senders.

Cause: the look each second compares the time of the last byte with idleTimeoutMs; while a body waits for memory, nothing is read, however much has arrived.

Change: the wait for memory pauses that time, and the time begins anew after it.

--- a/crates/damaskd/src/caller/body.rs
+++ b/crates/damaskd/src/caller/body.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 use router::ingress::{
     self,
+    Connection,
     Fault, //
 };
 
@@ -25,7 +26,10 @@
 /// If the body is too large, does not arrive in time, is cut off or finds no memory.
 pub async fn read(body: &mut Incoming, node: &Node) -> Result<Bytes, Refusal> {
     let limits = &node.config.limits;
-    let read = ingress::read(body, limits.max_body_bytes, &node.ingress.bodies);
+    // No bound of connections applies to bodies here.
+    let connection = Connection::default();
+    let account = &node.ingress.bodies;
+    let read = ingress::read(body, limits.max_body_bytes, account, &connection);
     let Ok(read) = tokio::time::timeout(limits.body_timeout, read).await else {
         return Err(Refusal::not_run(
             Code::BodyTimeout,
--- a/crates/damaskd/src/operator/mod.rs
+++ b/crates/damaskd/src/operator/mod.rs
@@ -22,6 +22,7 @@
     self,
     Bounds,
     Closure,
+    Connection,
     Fault, //
 };
 use serde::de::DeserializeOwned;
@@ -143,10 +144,13 @@
 ) -> Result<T, Refusal> {
     let bad_request = |status, message: String| Refusal::new(status, "bad_request", message);
     let limits = &node.config.limits;
+    // No bound of connections applies to bodies here.
+    let connection = Connection::default();
     let body = ingress::read(
         request.body_mut(),
         limits.max_body_bytes,
         &node.ingress.bodies,
+        &connection,
     );
     let body = match tokio::time::timeout(limits.body_timeout, body).await {
         Ok(Ok(body)) => body,
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -94,7 +94,7 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
     let limit = catalog.limits.max_body_bytes;
-    let body = match read_body(&mut body, limit, deadline, &node.ingress.bodies).await {
+    let body = match read_body(&mut body, limit, deadline, &node.ingress.bodies, connection).await {
         Ok(body) => body,
         Err(refusal) => {
             discard(node, body, connection);
@@ -195,8 +195,9 @@
     limit: usize,
     deadline: Instant,
     account: &Arc<Account>,
+    connection: &Connection,
 ) -> Result<Bytes, Refusal> {
-    let read = ingress::read(body, limit, account);
+    let read = ingress::read(body, limit, account, connection);
     let Ok(read) = tokio::time::timeout_at(deadline.into(), read).await else {
         let message = "the body did not arrive within the request's time";
         return Err(Refusal::not_run(Reason::BodyTimeout, message));
--- a/crates/router/src/ingress/body.rs
+++ b/crates/router/src/ingress/body.rs
@@ -15,10 +15,13 @@
 use state::clock;
 use thiserror::Error;
 
-use super::account::{
-    Account,
-    Hold,
-    Registration, //
+use super::{
+    account::{
+        Account,
+        Hold,
+        Registration, //
+    },
+    connection::Connection, //
 };
 
 /// Bytes that a connection reads at once, which a short body may keep allocated.
@@ -62,7 +65,8 @@
     }
 }
 
-/// Reads a whole body of at most `limit` bytes, as there is memory for it.
+/// Reads a whole body of at most `limit` bytes, as there is memory for it; `connection` is told when the
+/// body is not read.
 ///
 /// # Errors
 ///
@@ -71,6 +75,7 @@
     body: &mut Incoming,
     limit: usize,
     account: &Arc<Account>,
+    connection: &Connection,
 ) -> Result<Bytes, Fault> {
     let declared = body.size_hint().exact();
     let declared = declared.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
@@ -79,6 +84,7 @@
     }
     let mut intake = Intake {
         account,
+        connection,
         hold: account.hold(),
         registration: None,
         buffer: Vec::new(),
@@ -102,6 +108,7 @@
 /// A body that is being read.
 struct Intake<'a> {
     account: &'a Arc<Account>,
+    connection: &'a Connection,
     hold: Hold,
     registration: Option<Registration>,
     buffer: Vec<u8>,
@@ -176,6 +183,7 @@
     async fn wait(&mut self, total: usize) -> Result<(), Fault> {
         let sender = self.registration.as_ref().map(|known| &*known.sender);
         let _wait = self.account.wait(sender).ok_or(Fault::Shed)?;
+        let _pause = self.connection.pause();
         let start = clock::now();
         loop {
             let mut released = std::pin::pin!(self.account.released.notified());
--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -127,6 +127,8 @@
     blocked_ms: AtomicU64,
     /// Whether bytes were read that follow the request in progress.
     is_ahead: AtomicBool,
+    /// Whether the body in progress is not read, since it waits for memory here.
+    is_paused: AtomicBool,
     order: AtomicU8,
     ordered_ms: AtomicU64,
     /// State in which the connection was to be cut.
@@ -192,6 +194,12 @@
         self.enter(WHOLE);
     }
 
+    /// Records that the body in progress is not read until the pause is dropped.
+    pub fn pause(&self) -> Pause<'_> {
+        self.is_paused.store(true, Ordering::Relaxed);
+        Pause(self)
+    }
+
     /// Ends the answer of a request. While its body still arrives, the connection is not idle.
     pub fn end(&self) {
         self.advance(|state| match phase_of(state) {
@@ -255,9 +263,12 @@
         if is_blocked && is_over(&self.blocked_ms, bounds.idle_time) {
             return Some(Closure::AnswerUnread);
         }
+        let is_paused = self.is_paused.load(Ordering::Relaxed);
         match self.phase() {
             HEAD if is_over(&self.since_ms, bounds.head_time) => Some(Closure::HeadTimeout),
-            BODY | REST if is_over(&self.since_ms, bounds.idle_time) => Some(Closure::BodyStalled),
+            BODY | REST if !is_paused && is_over(&self.since_ms, bounds.idle_time) => {
+                Some(Closure::BodyStalled)
+            }
             WHOLE => None,
             _ if self.order.load(Ordering::Relaxed) == CLOSING
                 && is_over(&self.ordered_ms, CLOSE_TIME) =>
@@ -269,6 +280,17 @@
     }
 }
 
+/// Time in which a body is not read.
+#[derive(Debug)]
+pub struct Pause<'a>(&'a Connection);
+
+impl Drop for Pause<'_> {
+    fn drop(&mut self) {
+        self.0.since_ms.store(now_ms(), Ordering::Relaxed);
+        self.0.is_paused.store(false, Ordering::Relaxed);
+    }
+}
+
 /// A body that arrives and is dropped.
 #[derive(Debug)]
 pub struct Arrival {
