A stop closes only connections that hold nothing of a request

Seen: requests behind a stream that began before a stop got no answer, and no answer had announced the close; a head in two pieces was cut on a used connection; the refusal of a body that still arrived was lost.

Cause: a stop called graceful_shutdown of hyper on every connection 100 ms after the listener was closed. On one that is in use, hyper ends it behind the answer in progress, and drops what it has read ahead; it takes a connection with half a head for an idle one.

Change: a connection that is to close does so when its state machine is idle, with nothing read ahead and no answer to write. Until then each answer on it says `Connection: close`, so that hyper ends it behind one that announces it. What was read ahead when an answer ends begins a head, which has the time for heads. The looks for connections without progress go on until the last connection has ended, since those bounds are now what ends the others.

--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -48,6 +48,7 @@
     },
     time::{
         Instant,
+        Interval,
         MissedTickBehavior,
         interval,
         sleep, //
@@ -91,24 +92,16 @@
     let mut plane = Plane {
         connections: service.connections(),
         service,
-        running,
+        running: Some(running),
         logged_at: None,
     };
-    let mut sweep = interval(SWEEP_INTERVAL);
-    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (mut swept_at, mut late_ticks) = (Instant::now(), 0);
+    let mut looks = Looks::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
-            _ = sweep.tick() => {
-                // What has arrived is not read yet if this process was held up.
-                let is_late = swept_at.elapsed() >= SWEEP_INTERVAL * 3 / 2;
-                late_ticks = if is_late { late_ticks + 1 } else { 0 };
-                if !is_late || late_ticks > MAX_LATE_TICKS {
-                    plane.sweep();
-                }
-                swept_at = Instant::now();
+            () = looks.next() => {
+                plane.sweep();
                 continue;
             }
         };
@@ -129,9 +122,47 @@
     if !S::UPGRADES {
         plane.connections.close();
     }
-    drop(plane);
-    // Returns when the last connection has ended.
-    ended.recv().await;
+    plane.running = None;
+    loop {
+        tokio::select! {
+            // Returns when the last connection has ended.
+            _ = ended.recv() => return,
+            () = looks.next() => plane.sweep(),
+        }
+    }
+}
+
+/// The looks for connections without progress.
+struct Looks {
+    interval: Interval,
+    last_at: Instant,
+    late_ticks: u32,
+}
+
+impl Looks {
+    fn new() -> Self {
+        let mut interval = interval(SWEEP_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Self {
+            interval,
+            last_at: Instant::now(),
+            late_ticks: 0,
+        }
+    }
+
+    /// Waits for the next look. One that comes late is left out: what has arrived is not read yet if this
+    /// process was held up.
+    async fn next(&mut self) {
+        loop {
+            self.interval.tick().await;
+            let is_late = self.last_at.elapsed() >= SWEEP_INTERVAL * 3 / 2;
+            self.late_ticks = if is_late { self.late_ticks + 1 } else { 0 };
+            self.last_at = Instant::now();
+            if !is_late || self.late_ticks > MAX_LATE_TICKS {
+                return;
+            }
+        }
+    }
 }
 
 /// Closes the listener and returns the connections that the kernel has already established, which
@@ -152,8 +183,8 @@
 struct Plane<S> {
     service: Arc<S>,
     connections: Arc<Connections>,
-    /// Kept by each connection that a stop waits for.
-    running: mpsc::Sender<Infallible>,
+    /// Kept by each connection that a stop waits for; `None` once the plane accepts none.
+    running: Option<mpsc::Sender<Infallible>>,
     /// When a closure was last logged.
     logged_at: Option<Instant>,
 }
@@ -207,7 +238,7 @@
                 |connection: Pin<&mut _>| UpgradeableConnection::graceful_shutdown(connection);
             tokio::spawn(drive(connection, close, owner, slot, None));
         } else {
-            let running = Some(self.running.clone());
+            let running = self.running.clone();
             let close = |connection: Pin<&mut _>| http1::Connection::graceful_shutdown(connection);
             tokio::spawn(drive(connection, close, owner, slot, running));
         }
@@ -221,15 +252,20 @@
 ) -> Result<Response<Tracked>, Infallible> {
     connection.begin(request.body().is_end_stream());
     let mut response = service.answer_on(request, &connection).await;
-    if service.closes_connections() {
+    if service.closes_connections() || connection.is_closing() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
     Ok(response.map(|body| Tracked::new(body, connection)))
 }
 
-/// Drives a connection until it ends or is cut; `close` ends it once no request is in progress, after
+/// Drives a connection until it ends or is cut; `close` ends it once nothing of a request is held, after
 /// what had arrived before was read. A stop waits for the end of those with `_running`.
+///
+/// # Invariants
+///
+/// hyper is asked to close only an idle connection. It would end any other one behind the answer in
+/// progress, whose head may have promised to keep it, and drop what it has read ahead.
 async fn drive<S: Service, C: Future<Output = hyper::Result<()>>>(
     connection: C,
     close: impl Fn(Pin<&mut C>),
--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -109,7 +109,7 @@
 /// How a connection is to close.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Due {
-    /// Once no request is in progress.
+    /// Nothing of a request is held.
     Close,
     /// At once.
     Cut,
@@ -200,10 +200,12 @@
         Pause(self)
     }
 
-    /// Ends the answer of a request. While its body still arrives, the connection is not idle.
+    /// Ends the answer of a request. While its body still arrives, the connection is not idle, nor with
+    /// the start of a head that was read ahead.
     pub fn end(&self) {
+        let is_ahead = self.is_ahead.load(Ordering::Relaxed);
         self.advance(|state| match phase_of(state) {
-            WHOLE => Some(IDLE),
+            WHOLE => Some(if is_ahead { HEAD } else { IDLE }),
             BODY => Some(REST),
             _ => None,
         });
@@ -223,6 +225,12 @@
         self.phase() == HEAD || self.is_ahead.load(Ordering::Relaxed)
     }
 
+    /// Whether any part of a request or of its answer is held.
+    pub fn is_in_use(&self) -> bool {
+        let is_blocked = self.blocked_ms.load(Ordering::Relaxed) > 0;
+        self.phase() != IDLE || self.is_ahead.load(Ordering::Relaxed) || is_blocked
+    }
+
     /// Whether the connection was asked to close.
     pub fn is_closing(&self) -> bool {
         self.order.load(Ordering::Relaxed) != OPEN
@@ -244,7 +252,7 @@
             CUT if self.state() == self.cut_state.load(Ordering::Relaxed) => return Some(Due::Cut),
             _ => self.order.store(CLOSING, Ordering::Relaxed),
         }
-        Some(Due::Close)
+        (!self.is_in_use()).then_some(Due::Close)
     }
 
     fn order(&self, order: u8) {
@@ -265,7 +273,9 @@
         }
         let is_paused = self.is_paused.load(Ordering::Relaxed);
         match self.phase() {
-            HEAD if is_over(&self.since_ms, bounds.head_time) => Some(Closure::HeadTimeout),
+            HEAD if !is_blocked && is_over(&self.since_ms, bounds.head_time) => {
+                Some(Closure::HeadTimeout)
+            }
             BODY | REST if !is_paused && is_over(&self.since_ms, bounds.idle_time) => {
                 Some(Closure::BodyStalled)
             }
@@ -374,7 +384,7 @@
         Ok((slot, closure))
     }
 
-    /// Asks all connections to close once no request is in progress.
+    /// Asks all connections to close once they hold nothing of a request.
     pub fn close(&self) {
         for connection in &*self.open.lock() {
             if connection.order.load(Ordering::Relaxed) == OPEN {
