The idle limit leaves a head that has begun its own time

Seen: a head that began within idleTimeoutMs on an idle connection was cut when that time ended.

Cause: hyper's timer counts from the end of the last request to the end of the next head.

Change: the timer goes on while the connection is in use; the look each second bounds a head by headerTimeoutMs, and an answer that is not taken by idleTimeoutMs.

--- a/crates/router/src/http/idle.rs
+++ b/crates/router/src/http/idle.rs
@@ -21,12 +21,19 @@
     LAST_READ_TIME,
     Service, //
 };
+use crate::ingress::Connection;
 
 /// Timer of a connection, for the timeout of the next head.
 ///
 /// hyper keeps the timeout with which the connection began. The timer goes on if the service
-/// allows more by now.
-pub struct Timer<S>(pub Arc<S>);
+/// allows more by now, or the connection is in use: a head that has begun and an answer that is not
+/// written have bounds of their own.
+pub struct Timer<S> {
+    /// The service of the plane.
+    pub service: Arc<S>,
+    /// The connection.
+    pub connection: Arc<Connection>,
+}
 
 impl<S> fmt::Debug for Timer<S> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -41,7 +48,8 @@
 
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn rt::Sleep>> {
         Box::pin(Wait {
-            service: self.0.clone(),
+            service: self.service.clone(),
+            connection: self.connection.clone(),
             began_at: Instant::now(),
             sleep: Box::pin(tokio::time::sleep_until(deadline.into())),
             is_last_read: false,
@@ -52,6 +60,7 @@
 /// Wait for the next head.
 struct Wait<S> {
     service: Arc<S>,
+    connection: Arc<Connection>,
     began_at: Instant,
     sleep: Pin<Box<tokio::time::Sleep>>,
     /// Whether the deadline has passed, and only a head that has arrived is waited for. An instance
@@ -68,10 +77,13 @@
         let this = self.get_mut();
         loop {
             ready!(this.sleep.as_mut().poll(cx));
-            if this.is_last_read {
+            let now = Instant::now();
+            if this.connection.is_in_use() {
+                this.began_at = now;
+                this.is_last_read = false;
+            } else if this.is_last_read {
                 return Poll::Ready(());
             }
-            let now = Instant::now();
             let mut deadline = this.began_at + this.service.head_timeout();
             if deadline <= now {
                 this.is_last_read = true;
--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -226,8 +226,12 @@
             service_fn(move |request| answer(service.clone(), connection.clone(), request));
         let buffer_bytes = bounds.head_bytes.max(MIN_BUFFER_BYTES);
         let stream = TokioIo::new(Observed::new(stream, slot.connection.clone()));
+        let timer = idle::Timer {
+            service: self.service.clone(),
+            connection: slot.connection.clone(),
+        };
         let connection = http1::Builder::new()
-            .timer(idle::Timer(self.service.clone()))
+            .timer(timer)
             .header_read_timeout(self.service.head_timeout())
             .max_header_size(bounds.head_bytes)
             .max_buf_size(buffer_bytes)
