Eviction cuts only connections that hold nothing of a request

Seen: a body was cut that followed its head on a connection that had been asked to make room, and a large answer while its caller read it.

Cause: a connection that had not closed 1 s after it was asked was cut in any phase but the one of a whole request; a large answer is idle to us from when its last bytes are handed to hyper.

Change: only an idle connection without an answer to write is cut, 1 s after it was asked and became idle. An order to cut does not hold for a connection with an answer to write, but for the one given since that answer is not taken.

--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -20,7 +20,7 @@
 use state::clock;
 use tokio::sync::Notify;
 
-/// Time in which a connection that was asked to close does so by itself.
+/// Time in which an idle connection that was asked to close does so by itself.
 const CLOSE_TIME: Duration = Duration::from_secs(1);
 /// Connections over the limit that are still closing, as a share of the limit.
 const CLOSING_DIVISOR: usize = 8;
@@ -103,8 +103,10 @@
 const OPEN: u8 = 0;
 /// It closes once no request is in progress.
 const CLOSING: u8 = 1;
-/// It is closed at once, unless its state has changed since.
+/// It is closed at once, unless its state has changed since or it has an answer to write.
 const CUT: u8 = 2;
+/// It is closed at once if its answer is still not taken.
+const UNREAD: u8 = 3;
 
 /// How a connection is to close.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -225,10 +227,14 @@
         self.phase() == HEAD || self.is_ahead.load(Ordering::Relaxed)
     }
 
+    /// Whether the caller does not take what is written.
+    fn is_blocked(&self) -> bool {
+        self.blocked_ms.load(Ordering::Relaxed) > 0
+    }
+
     /// Whether any part of a request or of its answer is held.
     pub fn is_in_use(&self) -> bool {
-        let is_blocked = self.blocked_ms.load(Ordering::Relaxed) > 0;
-        self.phase() != IDLE || self.is_ahead.load(Ordering::Relaxed) || is_blocked
+        self.phase() != IDLE || self.is_ahead.load(Ordering::Relaxed) || self.is_blocked()
     }
 
     /// Whether the connection was asked to close.
@@ -247,9 +253,11 @@
     /// How the connection is to close by now. What was to be cut and has changed its state closes like
     /// an idle one: a request that was read whole may have been passed on.
     pub fn due(&self) -> Option<Due> {
+        let cut_state = self.cut_state.load(Ordering::Relaxed);
         match self.order.load(Ordering::Relaxed) {
             OPEN => return None,
-            CUT if self.state() == self.cut_state.load(Ordering::Relaxed) => return Some(Due::Cut),
+            CUT if !self.is_blocked() && self.state() == cut_state => return Some(Due::Cut),
+            UNREAD if self.is_blocked() => return Some(Due::Cut),
             _ => self.order.store(CLOSING, Ordering::Relaxed),
         }
         (!self.is_in_use()).then_some(Due::Close)
@@ -267,7 +275,7 @@
         let is_over = |since: &AtomicU64, time| {
             now.saturating_sub(since.load(Ordering::Relaxed)) >= millis(time)
         };
-        let is_blocked = self.blocked_ms.load(Ordering::Relaxed) > 0;
+        let is_blocked = self.is_blocked();
         if is_blocked && is_over(&self.blocked_ms, bounds.idle_time) {
             return Some(Closure::AnswerUnread);
         }
@@ -279,9 +287,10 @@
             BODY | REST if !is_paused && is_over(&self.since_ms, bounds.idle_time) => {
                 Some(Closure::BodyStalled)
             }
-            WHOLE => None,
-            _ if self.order.load(Ordering::Relaxed) == CLOSING
-                && is_over(&self.ordered_ms, CLOSE_TIME) =>
+            IDLE if !self.is_in_use()
+                && self.is_closing()
+                && is_over(&self.ordered_ms, CLOSE_TIME)
+                && is_over(&self.since_ms, CLOSE_TIME) =>
             {
                 Some(Closure::Evicted)
             }
@@ -411,9 +420,10 @@
         let now = now_ms();
         let mut closures = Vec::new();
         for connection in &*self.open.lock() {
-            let is_cut = connection.order.load(Ordering::Relaxed) == CUT;
+            let is_cut = connection.order.load(Ordering::Relaxed) >= CUT;
             if let Some(closure) = connection.overdue(bounds, now).filter(|_| !is_cut) {
-                connection.order(CUT);
+                let is_unread = closure == Closure::AnswerUnread;
+                connection.order(if is_unread { UNREAD } else { CUT });
                 closures.push(closure);
             }
         }
@@ -428,8 +438,7 @@
     usable.min_by_key(|known| {
         let since = known.since_ms.load(Ordering::Relaxed);
         // An idle connection may still have an answer to write.
-        let is_blocked = known.blocked_ms.load(Ordering::Relaxed) > 0;
-        (is_blocked, known.phase() != IDLE, since)
+        (known.is_blocked(), known.phase() != IDLE, since)
     })
 }
 
