A connection reads on after it has closed its own side

Seen: a large answer that announced the close was cut, since the caller had sent bytes behind its request.

Cause: the system resets a connection that is closed with unread bytes, and drops what it has not sent; hyper closes as soon as the answer is handed over.

Change: after its FIN, a connection drops what arrives until the caller closes, for at most 1 s. One that has been idle for that time does not wait. An answer that was not taken at once begins the idle time when it is handed over whole.

A caller that does not close its side delays a stop by up to 1 s.

--- a/crates/router/src/http/stream.rs
+++ b/crates/router/src/http/stream.rs
@@ -5,11 +5,13 @@
         self,
         IoSlice, //
     },
+    mem::MaybeUninit,
     pin::Pin,
     sync::Arc,
     task::{
         Context,
-        Poll, //
+        Poll,
+        ready, //
     }, //
 };
 
@@ -25,7 +27,11 @@
         AsyncWrite,
         ReadBuf, //
     },
-    net::TcpStream, //
+    net::TcpStream,
+    time::{
+        Sleep,
+        sleep, //
+    }, //
 };
 
 use super::{
@@ -34,17 +40,26 @@
 };
 use crate::ingress::Connection;
 
+/// Bytes that are dropped at a time.
+const REST_BYTES: usize = 4 << 10;
+
 /// A TCP connection whose progress is recorded.
 #[derive(Debug)]
 pub struct Observed {
     stream: TcpStream,
     connection: Arc<Connection>,
+    /// Time to read on, once this side is closed.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl Observed {
     /// Records the progress of `stream` in `connection`.
     pub fn new(stream: TcpStream, connection: Arc<Connection>) -> Self {
-        Self { stream, connection }
+        Self {
+            stream,
+            connection,
+            linger: None,
+        }
     }
 
     /// The TCP connection.
@@ -52,6 +67,23 @@
         self.stream
     }
 
+    /// Drops what arrives until the caller closes its side, or `linger` has passed.
+    fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let is_over = self
+            .linger
+            .as_mut()
+            .is_some_and(|linger| linger.as_mut().poll(cx).is_ready());
+        let mut bytes = [MaybeUninit::uninit(); REST_BYTES];
+        loop {
+            let mut buffer = ReadBuf::uninit(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {}
+                Poll::Pending if !is_over => return Poll::Pending,
+                _ => return Poll::Ready(()),
+            }
+        }
+    }
+
     fn record<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         self.connection.record_write(written.is_pending());
         written
@@ -101,7 +133,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            let linger = sleep(self.connection.linger_time());
+            self.linger = Some(Box::pin(linger));
+        }
+        self.poll_rest(cx).map(Ok)
     }
 }
 
--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -20,6 +20,9 @@
 use state::clock;
 use tokio::sync::Notify;
 
+/// Time in which a connection reads on after it has closed its own side. A close with unread bytes resets
+/// it, and the caller loses what it has not read of its answer.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Time in which an idle connection that was asked to close does so by itself.
 const CLOSE_TIME: Duration = Duration::from_secs(1);
 /// Connections over the limit that are still closing, as a share of the limit.
@@ -179,7 +182,12 @@
         let blocked = self.blocked_ms.load(Ordering::Relaxed);
         match (is_blocked, blocked) {
             (true, 0) => self.blocked_ms.store(now_ms().max(1), Ordering::Relaxed),
-            (false, 1..) => self.blocked_ms.store(0, Ordering::Relaxed),
+            (false, 1..) => {
+                self.blocked_ms.store(0, Ordering::Relaxed);
+                if self.phase() == IDLE {
+                    self.since_ms.store(now_ms(), Ordering::Relaxed);
+                }
+            }
             _ => {}
         }
     }
@@ -237,6 +245,16 @@
         self.phase() != IDLE || self.is_ahead.load(Ordering::Relaxed) || self.is_blocked()
     }
 
+    /// How long the connection reads on after it has closed its own side. Who has been idle for long has
+    /// nothing to lose.
+    pub fn linger_time(&self) -> Duration {
+        if self.phase() != IDLE {
+            return LINGER_TIME;
+        }
+        let idle_ms = now_ms().saturating_sub(self.since_ms.load(Ordering::Relaxed));
+        LINGER_TIME.saturating_sub(Duration::from_millis(idle_ms))
+    }
+
     /// Whether the connection was asked to close.
     pub fn is_closing(&self) -> bool {
         self.order.load(Ordering::Relaxed) != OPEN
