A slow head that began before a stop closed the listener may end

Seen: since the looks for connections without progress go on in a stop, a head that took 3.5 s, beyond headerTimeoutMs, was cut where it had been answered before: late_stop::requests_that_cannot_end_before_a_planned_stop_are_refused failed in three of three runs.

Change: once no connection is accepted, a head has idleTimeoutMs if that is longer, as before these looks.

Result: the test passes in two of two runs, and those of heads and of the last read, too.

--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -63,6 +63,7 @@
     idle, //
 };
 use crate::ingress::{
+    Bounds,
     Closure,
     Connection,
     Connections,
@@ -101,7 +102,7 @@
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
             () = looks.next() => {
-                plane.sweep();
+                plane.sweep(&plane.service.bounds());
                 continue;
             }
         };
@@ -127,7 +128,7 @@
         tokio::select! {
             // Returns when the last connection has ended.
             _ = ended.recv() => return,
-            () = looks.next() => plane.sweep(),
+            () = looks.next() => plane.sweep(&plane.stop_bounds()),
         }
     }
 }
@@ -190,12 +191,22 @@
 }
 
 impl<S: Service> Plane<S> {
-    fn sweep(&mut self) {
-        for closure in self.connections.sweep(&self.service.bounds()) {
+    fn sweep(&mut self, bounds: &Bounds) {
+        for closure in self.connections.sweep(bounds) {
             self.report(closure);
         }
     }
 
+    /// Bounds once no connection is accepted. A slow head takes no place of others, and is answered if it
+    /// ends within the stop.
+    fn stop_bounds(&self) -> Bounds {
+        let bounds = self.service.bounds();
+        Bounds {
+            head_time: bounds.head_time.max(bounds.idle_time),
+            ..bounds
+        }
+    }
+
     /// Counts a closure, and logs it unless one was logged just before: callers that break the bounds
     /// must not displace other lines.
     fn report(&mut self, closure: Closure) {
