--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -74,14 +74,14 @@
     node: &Node<P>,
     head: RequestHead,
     request: Request<Incoming>,
-    connection: &Connection,
+    connection: &Arc<Connection>,
 ) -> Result<Admission, Refusal> {
     let arrived = Instant::now();
     let (parts, mut body) = request.into_parts();
     let authorized = match authorize(node, &head, &parts) {
         Ok(authorized) => authorized,
         Err(refusal) => {
-            discard(node, body);
+            discard(node, body, connection);
             return Err(refusal);
         }
     };
@@ -94,10 +94,10 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
     let limit = catalog.limits.max_body_bytes;
-    let body = match read_body(&mut body, limit, deadline, &node.ingress.bodies).await {
+    let body = match read_body(&mut body, limit, deadline, &node.ingress.bodies, connection).await {
         Ok(body) => body,
         Err(refusal) => {
-            discard(node, body);
+            discard(node, body, connection);
             return Err(refusal);
         }
     };
@@ -149,9 +149,10 @@
 }
 
 /// Reads on the body of a request that is refused while the body still arrives.
-pub fn discard<P: Protocol>(node: &Node<P>, body: Incoming) {
+pub fn discard<P: Protocol>(node: &Node<P>, body: Incoming, connection: &Arc<Connection>) {
     let limits = node.catalog.load().as_ref().map(|c| c.limits);
-    crate::http::discard(body, limits.unwrap_or_default().max_body_bytes);
+    let max_bytes = limits.unwrap_or_default().max_body_bytes;
+    crate::http::discard(body, max_bytes, connection);
 }
 
 fn find_route(
@@ -195,8 +196,9 @@
     limit: usize,
     deadline: Instant,
     account: &Arc<Account>,
+    connection: &Connection,
 ) -> Result<Bytes, Refusal> {
-    let read = ingress::read(body, limit, account);
+    let read = ingress::read(body, limit, account, connection);
     let Ok(read) = tokio::time::timeout_at(deadline.into(), read).await else {
         let message = "the body did not arrive within the request's time";
         return Err(Refusal::not_run(Reason::BodyTimeout, message));
--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -2,11 +2,16 @@
 
 use std::{
     convert::Infallible,
+    future::poll_fn,
     pin::{
         Pin,
         pin, //
     },
     sync::Arc,
+    task::{
+        Poll,
+        ready, //
+    },
     time::Duration, //
 };
 
@@ -43,8 +48,10 @@
     },
     time::{
         Instant,
+        Interval,
         MissedTickBehavior,
-        interval, //
+        interval,
+        sleep, //
     }, //
 };
 
@@ -56,9 +63,11 @@
     idle, //
 };
 use crate::ingress::{
+    Bounds,
     Closure,
     Connection,
     Connections,
+    Due,
     Slot, //
 };
 
@@ -68,6 +77,9 @@
 const MAX_LATE_TICKS: u32 = 2;
 /// Shortest time between two lines of the log about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Time in which a connection that is to be closed reads on. The runtime notices what has arrived before it
+/// ends a timer, so that any time is enough, also for a process that was held up.
+const READ_TIME: Duration = Duration::from_millis(10);
 /// Smallest buffer of a connection, in bytes; hyper takes no smaller one.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -81,24 +93,16 @@
     let mut plane = Plane {
         connections: service.connections(),
         service,
-        running,
+        running: Some(running),
         logged_at: None,
     };
-    let mut sweep = interval(SWEEP_INTERVAL);
-    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (mut swept_at, mut late_ticks) = (Instant::now(), 0);
+    let mut looks = Looks::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
-            _ = sweep.tick() => {
-                // What has arrived is not read yet if this process was held up.
-                let is_late = swept_at.elapsed() >= SWEEP_INTERVAL * 3 / 2;
-                late_ticks = if is_late { late_ticks + 1 } else { 0 };
-                if !is_late || late_ticks > MAX_LATE_TICKS {
-                    plane.sweep();
-                }
-                swept_at = Instant::now();
+            () = looks.next() => {
+                plane.sweep(&plane.service.bounds());
                 continue;
             }
         };
@@ -119,9 +123,47 @@
     if !S::UPGRADES {
         plane.connections.close();
     }
-    drop(plane);
-    // Returns when the last connection has ended.
-    ended.recv().await;
+    plane.running = None;
+    loop {
+        tokio::select! {
+            // Returns when the last connection has ended.
+            _ = ended.recv() => return,
+            () = looks.next() => plane.sweep(&plane.stop_bounds()),
+        }
+    }
+}
+
+/// The looks for connections without progress.
+struct Looks {
+    interval: Interval,
+    last_at: Instant,
+    late_ticks: u32,
+}
+
+impl Looks {
+    fn new() -> Self {
+        let mut interval = interval(SWEEP_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Self {
+            interval,
+            last_at: Instant::now(),
+            late_ticks: 0,
+        }
+    }
+
+    /// Waits for the next look. One that comes late is left out: what has arrived is not read yet if this
+    /// process was held up.
+    async fn next(&mut self) {
+        loop {
+            self.interval.tick().await;
+            let is_late = self.last_at.elapsed() >= SWEEP_INTERVAL * 3 / 2;
+            self.late_ticks = if is_late { self.late_ticks + 1 } else { 0 };
+            self.last_at = Instant::now();
+            if !is_late || self.late_ticks > MAX_LATE_TICKS {
+                return;
+            }
+        }
+    }
 }
 
 /// Closes the listener and returns the connections that the kernel has already established, which
@@ -142,19 +184,29 @@
 struct Plane<S> {
     service: Arc<S>,
     connections: Arc<Connections>,
-    /// Kept by each connection that a stop waits for.
-    running: mpsc::Sender<Infallible>,
+    /// Kept by each connection that a stop waits for; `None` once the plane accepts none.
+    running: Option<mpsc::Sender<Infallible>>,
     /// When a closure was last logged.
     logged_at: Option<Instant>,
 }
 
 impl<S: Service> Plane<S> {
-    fn sweep(&mut self) {
-        for closure in self.connections.sweep(&self.service.bounds()) {
+    fn sweep(&mut self, bounds: &Bounds) {
+        for closure in self.connections.sweep(bounds) {
             self.report(closure);
         }
     }
 
+    /// Bounds once no connection is accepted. A slow head takes no place of others, and is answered if it
+    /// ends within the stop.
+    fn stop_bounds(&self) -> Bounds {
+        let bounds = self.service.bounds();
+        Bounds {
+            head_time: bounds.head_time.max(bounds.idle_time),
+            ..bounds
+        }
+    }
+
     /// Counts a closure, and logs it unless one was logged just before: callers that break the bounds
     /// must not displace other lines.
     fn report(&mut self, closure: Closure) {
@@ -185,8 +237,12 @@
             service_fn(move |request| answer(service.clone(), connection.clone(), request));
         let buffer_bytes = bounds.head_bytes.max(MIN_BUFFER_BYTES);
         let stream = TokioIo::new(Observed::new(stream, slot.connection.clone()));
+        let timer = idle::Timer {
+            service: self.service.clone(),
+            connection: slot.connection.clone(),
+        };
         let connection = http1::Builder::new()
-            .timer(idle::Timer(self.service.clone()))
+            .timer(timer)
             .header_read_timeout(self.service.head_timeout())
             .max_header_size(bounds.head_bytes)
             .max_buf_size(buffer_bytes)
@@ -197,7 +253,7 @@
                 |connection: Pin<&mut _>| UpgradeableConnection::graceful_shutdown(connection);
             tokio::spawn(drive(connection, close, owner, slot, None));
         } else {
-            let running = Some(self.running.clone());
+            let running = self.running.clone();
             let close = |connection: Pin<&mut _>| http1::Connection::graceful_shutdown(connection);
             tokio::spawn(drive(connection, close, owner, slot, running));
         }
@@ -211,15 +267,20 @@
 ) -> Result<Response<Tracked>, Infallible> {
     connection.begin(request.body().is_end_stream());
     let mut response = service.answer_on(request, &connection).await;
-    if service.closes_connections() {
+    if service.closes_connections() || connection.is_closing() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
     Ok(response.map(|body| Tracked::new(body, connection)))
 }
 
-/// Drives a connection until it ends or is cut; `close` ends it once no request is in progress. A stop
-/// waits for the end of those with `_running`.
+/// Drives a connection until it ends or is cut; `close` ends it once nothing of a request is held, after
+/// what had arrived before was read. A stop waits for the end of those with `_running`.
+///
+/// # Invariants
+///
+/// hyper is asked to close only an idle connection. It would end any other one behind the answer in
+/// progress, whose head may have promised to keep it, and drop what it has read ahead.
 async fn drive<S: Service, C: Future<Output = hyper::Result<()>>>(
     connection: C,
     close: impl Fn(Pin<&mut C>),
@@ -228,7 +289,18 @@
     _running: Option<mpsc::Sender<Infallible>>,
 ) {
     let mut connection = pin!(connection);
+    let mut read_time = pin!(sleep(READ_TIME));
+    let mut is_closed = false;
     loop {
+        let due = poll_fn(|cx| {
+            if !slot.connection.is_closing() {
+                return Poll::Pending;
+            }
+            ready!(read_time.as_mut().poll(cx));
+            let due = slot.connection.due();
+            let due = due.filter(|due| *due == Due::Cut || !is_closed);
+            due.map_or(Poll::Pending, Poll::Ready)
+        });
         tokio::select! {
             biased;
             ended = connection.as_mut() => {
@@ -245,12 +317,16 @@
                 }
                 return;
             }
-            is_cut = slot.connection.ordered() => {
-                if is_cut {
+            () = slot.connection.ordered() => {
+                read_time.as_mut().reset(Instant::now() + READ_TIME);
+            }
+            due = due => {
+                if due == Due::Cut {
                     return;
                 }
+                is_closed = true;
+                close(connection.as_mut());
             }
         }
-        close(connection.as_mut());
     }
 }
--- a/crates/router/src/ingress/connection.rs
+++ b/crates/router/src/ingress/connection.rs
@@ -20,7 +20,10 @@
 use state::clock;
 use tokio::sync::Notify;
 
-/// Time in which a connection that was asked to close does so by itself.
+/// Time in which a connection reads on after it has closed its own side. A close with unread bytes resets
+/// it, and the caller loses what it has not read of its answer.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Time in which an idle connection that was asked to close does so by itself.
 const CLOSE_TIME: Duration = Duration::from_secs(1);
 /// Connections over the limit that are still closing, as a share of the limit.
 const CLOSING_DIVISOR: usize = 8;
@@ -89,38 +92,77 @@
 const BODY: u8 = 2;
 /// A request was read whole and is in progress.
 const WHOLE: u8 = 3;
+/// A request was answered, and the rest of its body arrives, which nobody needs.
+const REST: u8 = 4;
+
+/// Bits of a state that hold the phase; the others number the request.
+const PHASE_BITS: u32 = 8;
+
+fn phase_of(state: u64) -> u8 {
+    state.to_le_bytes()[0]
+}
 
 /// The connection stays open.
 const OPEN: u8 = 0;
 /// It closes once no request is in progress.
 const CLOSING: u8 = 1;
-/// It is closed at once.
+/// It is closed at once, unless its state has changed since or it has an answer to write.
 const CUT: u8 = 2;
+/// It is closed at once if its answer is still not taken.
+const UNREAD: u8 = 3;
+
+/// How a connection is to close.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Due {
+    /// Nothing of a request is held.
+    Close,
+    /// At once.
+    Cut,
+}
 
 /// What is known of one connection.
 #[derive(Debug, Default)]
 pub struct Connection {
-    phase: AtomicU8,
+    /// Number of the request and its phase, which may change in another task while the next request
+    /// begins.
+    state: AtomicU64,
     /// Start of the phase, or the last byte of a body, in milliseconds.
     since_ms: AtomicU64,
     /// Since when written bytes are not taken, in milliseconds; 0 if they are.
     blocked_ms: AtomicU64,
     /// Whether bytes were read that follow the request in progress.
     is_ahead: AtomicBool,
+    /// Whether the body in progress is not read, since it waits for memory here.
+    is_paused: AtomicBool,
     order: AtomicU8,
     ordered_ms: AtomicU64,
-    /// Notified when the order changes.
+    /// State in which the connection was to be cut.
+    cut_state: AtomicU64,
+    /// Notified when the order changes, and when a discarded body has ended.
     wake: Notify,
 }
 
 impl Connection {
-    fn enter(&self, phase: u8) {
-        self.phase.store(phase, Ordering::Relaxed);
-        self.since_ms.store(now_ms(), Ordering::Relaxed);
+    fn state(&self) -> u64 {
+        self.state.load(Ordering::Relaxed)
     }
 
     fn phase(&self) -> u8 {
-        self.phase.load(Ordering::Relaxed)
+        phase_of(self.state())
+    }
+
+    /// Enters a phase of the present request, if `next` gives one for its state.
+    fn advance(&self, next: impl Fn(u64) -> Option<u8>) {
+        let advanced =
+            |state| next(state).map(|next| state >> PHASE_BITS << PHASE_BITS | u64::from(next));
+        let (order, now) = (Ordering::Relaxed, now_ms());
+        if self.state.fetch_update(order, order, advanced).is_ok() {
+            self.since_ms.store(now, Ordering::Relaxed);
+        }
+    }
+
+    fn enter(&self, phase: u8) {
+        self.advance(|_| Some(phase));
     }
 
     /// Records bytes that were read. Empty lines before a request do not begin its head: HTTP allows
@@ -129,7 +171,7 @@
         let has_head = || bytes.iter().any(|byte| !b"\r\n".contains(byte));
         match self.phase() {
             IDLE if has_head() => self.enter(HEAD),
-            BODY => self.since_ms.store(now_ms(), Ordering::Relaxed),
+            BODY | REST => self.since_ms.store(now_ms(), Ordering::Relaxed),
             WHOLE if has_head() => self.is_ahead.store(true, Ordering::Relaxed),
             _ => {}
         }
@@ -140,7 +182,12 @@
         let blocked = self.blocked_ms.load(Ordering::Relaxed);
         match (is_blocked, blocked) {
             (true, 0) => self.blocked_ms.store(now_ms().max(1), Ordering::Relaxed),
-            (false, 1..) => self.blocked_ms.store(0, Ordering::Relaxed),
+            (false, 1..) => {
+                self.blocked_ms.store(0, Ordering::Relaxed);
+                if self.phase() == IDLE {
+                    self.since_ms.store(now_ms(), Ordering::Relaxed);
+                }
+            }
             _ => {}
         }
     }
@@ -148,6 +195,7 @@
     /// Begins a request whose head was read.
     pub fn begin(&self, is_whole: bool) {
         self.is_ahead.store(false, Ordering::Relaxed);
+        self.state.fetch_add(1 << PHASE_BITS, Ordering::Relaxed);
         self.enter(if is_whole { WHOLE } else { BODY });
     }
 
@@ -156,10 +204,29 @@
         self.enter(WHOLE);
     }
 
-    /// Ends a request. While a body still arrives that nobody needs, the connection is not idle.
+    /// Records that the body in progress is not read until the pause is dropped.
+    pub fn pause(&self) -> Pause<'_> {
+        self.is_paused.store(true, Ordering::Relaxed);
+        Pause(self)
+    }
+
+    /// Ends the answer of a request. While its body still arrives, the connection is not idle, nor with
+    /// the start of a head that was read ahead.
     pub fn end(&self) {
-        if self.phase() == WHOLE {
-            self.enter(IDLE);
+        let is_ahead = self.is_ahead.load(Ordering::Relaxed);
+        self.advance(|state| match phase_of(state) {
+            WHOLE => Some(if is_ahead { HEAD } else { IDLE }),
+            BODY => Some(REST),
+            _ => None,
+        });
+    }
+
+    /// The body that arrives and is dropped, whose end is to be recorded.
+    pub fn arrival(self: &Arc<Self>) -> Arrival {
+        self.advance(|state| (phase_of(state) == WHOLE).then_some(BODY));
+        Arrival {
+            connection: self.clone(),
+            number: self.state() >> PHASE_BITS,
         }
     }
 
@@ -168,13 +235,54 @@
         self.phase() == HEAD || self.is_ahead.load(Ordering::Relaxed)
     }
 
-    /// Waits until the connection is to close; returns whether at once.
-    pub async fn ordered(&self) -> bool {
+    /// Whether the caller does not take what is written.
+    fn is_blocked(&self) -> bool {
+        self.blocked_ms.load(Ordering::Relaxed) > 0
+    }
+
+    /// Whether any part of a request or of its answer is held.
+    pub fn is_in_use(&self) -> bool {
+        self.phase() != IDLE || self.is_ahead.load(Ordering::Relaxed) || self.is_blocked()
+    }
+
+    /// How long the connection reads on after it has closed its own side. Who has been idle for long has
+    /// nothing to lose.
+    pub fn linger_time(&self) -> Duration {
+        if self.phase() != IDLE {
+            return LINGER_TIME;
+        }
+        let idle_ms = now_ms().saturating_sub(self.since_ms.load(Ordering::Relaxed));
+        LINGER_TIME.saturating_sub(Duration::from_millis(idle_ms))
+    }
+
+    /// Whether the connection was asked to close.
+    pub fn is_closing(&self) -> bool {
+        self.order.load(Ordering::Relaxed) != OPEN
+    }
+
+    /// Waits until the connection is asked to close, or it was and a discarded body has ended.
+    pub async fn ordered(&self) {
         self.wake.notified().await;
-        self.order.load(Ordering::Relaxed) == CUT
+        while !self.is_closing() {
+            self.wake.notified().await;
+        }
+    }
+
+    /// How the connection is to close by now. What was to be cut and has changed its state closes like
+    /// an idle one: a request that was read whole may have been passed on.
+    pub fn due(&self) -> Option<Due> {
+        let cut_state = self.cut_state.load(Ordering::Relaxed);
+        match self.order.load(Ordering::Relaxed) {
+            OPEN => return None,
+            CUT if !self.is_blocked() && self.state() == cut_state => return Some(Due::Cut),
+            UNREAD if self.is_blocked() => return Some(Due::Cut),
+            _ => self.order.store(CLOSING, Ordering::Relaxed),
+        }
+        (!self.is_in_use()).then_some(Due::Close)
     }
 
     fn order(&self, order: u8) {
+        self.cut_state.store(self.state(), Ordering::Relaxed);
         self.order.store(order, Ordering::Relaxed);
         self.ordered_ms.store(now_ms(), Ordering::Relaxed);
         self.wake.notify_one();
@@ -185,16 +293,22 @@
         let is_over = |since: &AtomicU64, time| {
             now.saturating_sub(since.load(Ordering::Relaxed)) >= millis(time)
         };
-        let is_blocked = self.blocked_ms.load(Ordering::Relaxed) > 0;
+        let is_blocked = self.is_blocked();
         if is_blocked && is_over(&self.blocked_ms, bounds.idle_time) {
             return Some(Closure::AnswerUnread);
         }
+        let is_paused = self.is_paused.load(Ordering::Relaxed);
         match self.phase() {
-            HEAD if is_over(&self.since_ms, bounds.head_time) => Some(Closure::HeadTimeout),
-            BODY if is_over(&self.since_ms, bounds.idle_time) => Some(Closure::BodyStalled),
-            WHOLE => None,
-            _ if self.order.load(Ordering::Relaxed) == CLOSING
-                && is_over(&self.ordered_ms, CLOSE_TIME) =>
+            HEAD if !is_blocked && is_over(&self.since_ms, bounds.head_time) => {
+                Some(Closure::HeadTimeout)
+            }
+            BODY | REST if !is_paused && is_over(&self.since_ms, bounds.idle_time) => {
+                Some(Closure::BodyStalled)
+            }
+            IDLE if !self.is_in_use()
+                && self.is_closing()
+                && is_over(&self.ordered_ms, CLOSE_TIME)
+                && is_over(&self.since_ms, CLOSE_TIME) =>
             {
                 Some(Closure::Evicted)
             }
@@ -203,6 +317,37 @@
     }
 }
 
+/// Time in which a body is not read.
+#[derive(Debug)]
+pub struct Pause<'a>(&'a Connection);
+
+impl Drop for Pause<'_> {
+    fn drop(&mut self) {
+        self.0.since_ms.store(now_ms(), Ordering::Relaxed);
+        self.0.is_paused.store(false, Ordering::Relaxed);
+    }
+}
+
+/// A body that arrives and is dropped.
+#[derive(Debug)]
+pub struct Arrival {
+    connection: Arc<Connection>,
+    number: u64,
+}
+
+impl Arrival {
+    /// Records that the body has ended. The connection may already have begun the next request.
+    pub fn end(self) {
+        self.connection.advance(|state| match phase_of(state) {
+            _ if state >> PHASE_BITS != self.number => None,
+            BODY => Some(WHOLE),
+            REST => Some(IDLE),
+            _ => None,
+        });
+        self.connection.wake.notify_one();
+    }
+}
+
 /// Numbers of connections with requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Busy {
@@ -271,7 +416,7 @@
         Ok((slot, closure))
     }
 
-    /// Asks all connections to close once no request is in progress.
+    /// Asks all connections to close once they hold nothing of a request.
     pub fn close(&self) {
         for connection in &*self.open.lock() {
             if connection.order.load(Ordering::Relaxed) == OPEN {
@@ -285,7 +430,7 @@
         let mut busy = Busy::default();
         for connection in &*self.open.lock() {
             match connection.phase() {
-                HEAD | BODY => busy.arriving += 1,
+                HEAD | BODY | REST => busy.arriving += 1,
                 WHOLE => busy.running += 1,
                 _ => {}
             }
@@ -298,9 +443,10 @@
         let now = now_ms();
         let mut closures = Vec::new();
         for connection in &*self.open.lock() {
-            let is_cut = connection.order.load(Ordering::Relaxed) == CUT;
+            let is_cut = connection.order.load(Ordering::Relaxed) >= CUT;
             if let Some(closure) = connection.overdue(bounds, now).filter(|_| !is_cut) {
-                connection.order(CUT);
+                let is_unread = closure == Closure::AnswerUnread;
+                connection.order(if is_unread { UNREAD } else { CUT });
                 closures.push(closure);
             }
         }
@@ -315,8 +461,7 @@
     usable.min_by_key(|known| {
         let since = known.since_ms.load(Ordering::Relaxed);
         // An idle connection may still have an answer to write.
-        let is_blocked = known.blocked_ms.load(Ordering::Relaxed) > 0;
-        (is_blocked, known.phase() != IDLE, since)
+        (known.is_blocked(), known.phase() != IDLE, since)
     })
 }
 
