A request whose service panics is answered with 500

What callers saw: nothing; the connection closed without an answer.

Cause: nothing caught the panic, which ended the connection's task.

--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     future::poll_fn,
+    panic::AssertUnwindSafe,
     pin::{
         Pin,
         pin, //
@@ -15,10 +16,12 @@
     time::Duration, //
 };
 
+use futures::FutureExt;
 use http::{
     HeaderValue,
     Request,
     Response,
+    StatusCode,
     header, //
 };
 use hyper::{
@@ -56,6 +59,7 @@
 };
 
 use super::{
+    Body,
     LAST_READ_TIME,
     Observed,
     Service,
@@ -266,7 +270,13 @@
     request: Request<Incoming>,
 ) -> Result<Response<Tracked>, Infallible> {
     connection.begin(request.body().is_end_stream());
-    let mut response = service.answer_on(request, &connection).await;
+    // The panic is logged where it happens.
+    let answered = AssertUnwindSafe(service.answer_on(request, &connection));
+    let mut response = answered.catch_unwind().await.unwrap_or_else(|_| {
+        let mut response = Response::new(Body::full(""));
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        response
+    });
     if service.closes_connections() || connection.is_closing() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
