--- a/crates/router/src/http/serve.rs
+++ b/crates/router/src/http/serve.rs
@@ -100,12 +100,12 @@
         running: Some(running),
         logged_at: None,
     };
-    let mut looks = Looks::new();
+    let mut sweep = Sweep::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
-            () = looks.next() => {
+            () = sweep.next() => {
                 plane.sweep(&plane.service.bounds());
                 continue;
             }
@@ -132,19 +132,19 @@
         tokio::select! {
             // Returns when the last connection has ended.
             _ = ended.recv() => return,
-            () = looks.next() => plane.sweep(&plane.stop_bounds()),
+            () = sweep.next() => plane.sweep(&plane.stop_bounds()),
         }
     }
 }
 
-/// The looks for connections without progress.
-struct Looks {
+/// When connections without progress are looked for.
+struct Sweep {
     interval: Interval,
     last_at: Instant,
     late_ticks: u32,
 }
 
-impl Looks {
+impl Sweep {
     fn new() -> Self {
         let mut interval = interval(SWEEP_INTERVAL);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -155,7 +155,7 @@
         }
     }
 
-    /// Waits for the next look. One that comes late is left out: what has arrived is not read yet if this
+    /// Waits for the next time. One that comes late is left out: what has arrived is not read yet if this
     /// process was held up.
     async fn next(&mut self) {
         loop {
