Isolated workspaces: others no longer use their earlier prefixes

What callers saw: nothing in their answers.

Cause: the salt of the workspaces that share prefixes did not depend on which workspaces are isolated, so engines went on to find what all of them had cached while they still shared it. The same held for every order of configurations, restarts and renamed workspaces, and the isolation was read from the entries of keys, so that an isolated workspace whose keys are withdrawn did not count at all.

Change: the salt contains a partition. An isolated workspace has its own; the others share one that is a hash of the names of all isolated workspaces. Only workspaces outside of that set ever add prefixes to it, whatever the order of configurations and whichever of them an instance has in force. The roots of prefix chains contain the partition, so beliefs about caches and placement follow. The configuration names isolated workspaces by themselves, not by key. CATALOG_IN_FORCE and REQUEST_PLACED log the partition.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -237,7 +237,11 @@
             time_left,
             workspace: call.workspace.as_ref().map(|w| &*w.name),
             engine: (selection.version > 0).then(|| EngineOptions {
-                cache_salt: call.cache_salt(selection.version, &registration.build),
+                cache_salt: call.cache_salt(
+                    selection.partition,
+                    selection.version,
+                    &registration.build,
+                ),
                 version: selection.version,
                 priority: call.priority(),
                 fetch_from: selection.source,
--- a/crates/router/src/catalog.rs
+++ b/crates/router/src/catalog.rs
@@ -12,7 +12,10 @@
 };
 use settings::Digest;
 
-use crate::http::MAX_HEAD_BYTES;
+use crate::{
+    http::MAX_HEAD_BYTES,
+    partition::Partition, //
+};
 
 /// Whether a request is retried when the outcome of an attempt is unknown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,8 +91,6 @@
     pub name: Arc<str>,
     /// Priority rank; overrides the route's.
     pub priority: Option<u8>,
-    /// Whether cached prefixes must not be shared with other workspaces.
-    pub isolated: bool,
     /// Rate limit; `None` if the workspace has none.
     pub limit: Option<Limit>,
     /// Unit in which the limit is counted.
@@ -160,7 +161,7 @@
 }
 
 /// One accepted configuration, complete.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Catalog {
     /// Version; increases with each accepted configuration.
     pub version: u64,
@@ -172,6 +173,19 @@
     ///
     /// Sorted by digest; digests are unique.
     keys: Vec<(Digest, Arc<Workspace>)>,
+    /// Names of the workspaces that must not share cached prefixes with others. Some of them may have
+    /// no key.
+    ///
+    /// # Invariants
+    ///
+    /// Sorted; names are unique.
+    isolated: Vec<Arc<str>>,
+    /// Partition of the workspaces that are not isolated.
+    ///
+    /// # Invariants
+    ///
+    /// That of `isolated`.
+    shared: Partition,
     /// # Invariants
     ///
     /// Sorted by name.
@@ -184,11 +198,13 @@
 
 impl Catalog {
     /// Sorts the entries; if two workspaces have the same key, the later one keeps it. `keys` is
-    /// `None` if the configuration has no workspaces, so that no route requires a key.
+    /// `None` if the configuration has no workspaces, so that no route requires a key; `isolated` names
+    /// the isolated ones, also those without a key.
     pub fn new(
         version: u64,
         mut routes: Vec<Arc<Route>>,
         keys: Option<Vec<(Digest, Arc<Workspace>)>>,
+        mut isolated: Vec<Arc<str>>,
         mut services: Vec<Service>,
         limits: Limits,
     ) -> Self {
@@ -198,12 +214,16 @@
         keys.reverse();
         keys.sort_by_key(|entry| entry.0);
         keys.dedup_by_key(|entry| entry.0);
+        isolated.sort();
+        isolated.dedup();
         services.sort_by(|a, b| a.name.cmp(&b.name));
         Self {
             version,
             routes,
             requires_keys,
             keys,
+            shared: Partition::shared(&isolated),
+            isolated,
             services,
             limits,
         }
@@ -231,6 +251,27 @@
         Some(&self.keys[index].1)
     }
 
+    /// Whether a workspace must not share cached prefixes with others.
+    pub fn is_isolated(&self, workspace: &str) -> bool {
+        let found = self
+            .isolated
+            .binary_search_by(|name| (**name).cmp(workspace));
+        found.is_ok()
+    }
+
+    /// Number of isolated workspaces.
+    pub fn isolated_count(&self) -> usize {
+        self.isolated.len()
+    }
+
+    /// Partition of the engines' caches for requests of a workspace, or for those without one.
+    pub fn partition(&self, workspace: Option<&str>) -> Partition {
+        match workspace {
+            Some(name) if self.is_isolated(name) => Partition::own(name),
+            _ => self.shared,
+        }
+    }
+
     /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         let found = self.services.binary_search_by(|s| (*s.name).cmp(name));
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -45,6 +45,7 @@
     limit,
     message::End,
     node::Node,
+    partition::Partition,
     planner::{
         self,
         Placement,
@@ -81,6 +82,8 @@
     pub endpoint: Arc<Endpoint>,
     /// Weights version that the endpoint must serve; 0 for plain services.
     pub version: u64,
+    /// Partition of the engines' caches for which the endpoint was chosen.
+    pub partition: Partition,
     /// Engine or prefix store that may have more of the prompt cached.
     pub source: Option<SocketAddr>,
     /// Prefix store that should also save the prompt's prefix.
@@ -112,7 +115,8 @@
     tried: &[Arc<str>],
     must_place: bool,
 ) -> Result<Selection, Refusal> {
-    let chain = call.prefix_chain();
+    let partition = call.partition();
+    let chain = call.prefix_chain(partition);
     let query = Query::new(call, &chain, tried);
     let is_resumable = call.route.is_resumable();
     if let Some(reservation) = exposure::reserve(node, &query, is_resumable) {
@@ -120,17 +124,26 @@
             build: Some(reservation.version()),
             ..query
         };
-        let chosen = choose_for(node, call, &ordered, must_place, Some(&reservation)).await;
+        let chosen = choose_for(
+            node,
+            call,
+            partition,
+            &ordered,
+            must_place,
+            Some(&reservation),
+        )
+        .await;
         if chosen.is_ok() {
             return chosen;
         }
     }
-    choose_for(node, call, &query, must_place, None).await
+    choose_for(node, call, partition, &query, must_place, None).await
 }
 
 async fn choose_for<P: Protocol>(
     node: &Node<P>,
     call: &Call,
+    partition: Partition,
     query: &Query<'_>,
     must_place: bool,
     reservation: Option<&Reservation>,
@@ -141,7 +154,7 @@
             && let Ok(permit) = bulkhead::acquire(node, &decision).await
         {
             let track = Track::begin(node, call, &decision.endpoint, reservation);
-            let mut selection = select(node, call, query, decision, ticket, permit);
+            let mut selection = select(node, call, partition, query, decision, ticket, permit);
             selection.track = track;
             return Ok(selection);
         }
@@ -181,6 +194,7 @@
 fn select<P: Protocol>(
     node: &Node<P>,
     call: &Call,
+    partition: Partition,
     query: &Query<'_>,
     decision: Decision,
     ticket: Option<Ticket>,
@@ -213,6 +227,7 @@
         source = source.map(|source| source.to_string()),
         tried = query.tried.len(),
         catalog = call.catalog.version,
+        partition = %partition,
         age_ms = millis(call.arrived_at.elapsed()),
     );
     let pace = node.planner.queues.pace(&call.service);
@@ -246,6 +261,7 @@
     }
     Selection {
         version: endpoint.version(),
+        partition,
         sent_at: clock::now(),
         source,
         save_to,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod node;
 pub mod observed;
 pub mod origin;
+pub mod partition;
 pub mod peer;
 pub mod plane;
 pub mod planner;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -364,6 +364,8 @@
             event::CATALOG_IN_FORCE,
             version = catalog.version,
             before = in_force,
+            isolated = catalog.isolated_count(),
+            partition = %catalog.partition(None),
             age_ms = age.map(exchange::whole_millis),
         );
         self.catalog.store(Some(Arc::new(catalog)));
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -38,6 +38,7 @@
         Workspace, //
     },
     origin::Origin,
+    partition::Partition,
     protocol::{
         Attempt,
         Protocol, //
@@ -141,26 +142,22 @@
         }
     }
 
-    /// Salt that separates the cached prefixes of isolated workspaces, models, weights versions and
-    /// builds of endpoints.
-    pub fn cache_salt(&self, version: u64, build: &str) -> u64 {
-        let isolated = self.workspace.as_ref().filter(|w| w.isolated);
-        let mut hasher = Xxh3::new();
-        for field in [
-            isolated.map_or("", |workspace| &workspace.name),
-            self.head.model.as_deref().unwrap_or_default(),
-            build,
-        ] {
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field.as_bytes());
-        }
-        hasher.update(&version.to_le_bytes());
-        hasher.digest()
+    /// Partition of the engines' caches for the request.
+    pub fn partition(&self) -> Partition {
+        let workspace = self.workspace.as_ref().map(|workspace| &*workspace.name);
+        self.catalog.partition(workspace)
+    }
+
+    /// Salt of the prefixes that engines with this build and version of the weights cache for the
+    /// request in a partition.
+    pub fn cache_salt(&self, partition: Partition, version: u64, build: &str) -> u64 {
+        let model = self.head.model.as_deref().unwrap_or_default();
+        partition.salt(model, version, build)
     }
 
-    /// Prefix chain of the prompt. It is independent of weights version and build: beliefs about
-    /// an endpoint's cache are dropped when these change.
-    pub fn prefix_chain(&self) -> Chain {
+    /// Prefix chain of the prompt in a partition. It is independent of weights version and build:
+    /// beliefs about an endpoint's cache are dropped when these change.
+    pub fn prefix_chain(&self, partition: Partition) -> Chain {
         if self.head.segments.is_empty() {
             // A plain request counts as one block, since its size is unknown.
             return Chain {
@@ -169,7 +166,7 @@
             };
         }
         let segments = self.head.segments.iter().map(|s| (s.id, s.tokens));
-        let mut chain = Chain::from_segments(self.cache_salt(0, ""), segments);
+        let mut chain = Chain::from_segments(self.cache_salt(partition, 0, ""), segments);
         if let Some(service) = self.catalog.service(&self.service) {
             chain.truncate(service.max_prompt_blocks());
         }
--- a/crates/router/tests/tables.rs
+++ b/crates/router/tests/tables.rs
@@ -79,7 +79,7 @@
         route("long", "h", "/a/b/"),
         route("other", "g", "/a/b/c/"),
     ];
-    let catalog = Catalog::new(1, routes, None, Vec::new(), Limits::default());
+    let catalog = Catalog::new(1, routes, None, Vec::new(), Vec::new(), Limits::default());
     let name = |host, path| {
         catalog
             .route(host, path)
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -56,7 +56,7 @@
     TABLE_REGAINED = 206;
     /// The table no longer has the requested change history; all rows are read again.
     HISTORY_LOST = 207;
-    /// A configuration is in force; the table may have held it for up to `age_ms`, if known.
+    /// A configuration is in force; the table may have held it for up to `age_ms`, if known. `isolated` is the number of isolated workspaces, and `partition` that of the others in the engines' caches: when it changes, their cached prefixes are cold.
     CATALOG_IN_FORCE = 208;
     /// A row written by the operator cannot be parsed; its last valid content stays in force.
     CATALOG_UNREADABLE = 209;
@@ -102,7 +102,7 @@
     STREAM_RESUMED = 404;
     /// A planner of model requests did not answer; this instance asks the one that ranks second for a while, and chooses endpoints alone while neither answers.
     PLANNER_SILENT = 405;
-    /// A request is sent to an endpoint; the expected cache hits and misses are counted in blocks of its prompt.
+    /// A request is sent to an endpoint; the expected cache hits and misses are counted in blocks of its prompt. `partition` is the part of the engines' caches that it may use.
     REQUEST_PLACED = 406;
     /// An answer of an endpoint was relayed to its end, or until the caller disconnected.
     REQUEST_SERVED = 407;
