Requests take their cache partition from the configuration in force when sent

What callers saw: nothing in their answers. A request of a workspace that shares prefixes was sent under the configuration of its arrival, also if it had been read, retried or resumed across a change that isolated another workspace; it could use prefixes of that one for as long as its time lasted.

Cause: a call holds the catalog with which it arrived, and the salt was derived from that.

Change: the partition is taken from the catalog in force when an endpoint is chosen and once more when the request is sent, since a placement may wait. If it has changed in between, the engine is not told to fetch prefixes from where they were believed to be. A workspace that was isolated when the request arrived stays so for it, which is safe under any configuration.

Not covered: a request that waits in the queue of its engine, or is preempted there, keeps the salt with which it was sent (docs/design/isolation.md).

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -37,6 +37,7 @@
     exposure,
     incarnation,
     node::Node,
+    partition,
     protocol::{
         Attempt,
         EngineOptions,
@@ -232,19 +233,18 @@
         let target = selection.target();
         let time_left = call.time_left();
         let reservation = self.reservation.take();
+        // The configuration may have changed since the endpoint was chosen.
+        let partition = partition::of_call(node, call);
+        let is_same = partition == selection.partition;
         let attempt = Attempt {
             endpoint: &registration.name,
             time_left,
             workspace: call.workspace.as_ref().map(|w| &*w.name),
             engine: (selection.version > 0).then(|| EngineOptions {
-                cache_salt: call.cache_salt(
-                    selection.partition,
-                    selection.version,
-                    &registration.build,
-                ),
+                cache_salt: call.cache_salt(partition, selection.version, &registration.build),
                 version: selection.version,
                 priority: call.priority(),
-                fetch_from: selection.source,
+                fetch_from: selection.source.filter(|_| is_same),
                 save_to: selection.save_to,
             }),
             last_event,
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -45,7 +45,10 @@
     limit,
     message::End,
     node::Node,
-    partition::Partition,
+    partition::{
+        self,
+        Partition, //
+    },
     planner::{
         self,
         Placement,
@@ -115,7 +118,7 @@
     tried: &[Arc<str>],
     must_place: bool,
 ) -> Result<Selection, Refusal> {
-    let partition = call.partition();
+    let partition = partition::of_call(node, call);
     let chain = call.prefix_chain(partition);
     let query = Query::new(call, &chain, tried);
     let is_resumable = call.route.is_resumable();
--- a/crates/router/src/partition.rs
+++ b/crates/router/src/partition.rs
@@ -13,6 +13,11 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::{
+    node::Node,
+    request::Call, //
+};
+
 /// Seed of the hashes of shared partitions.
 const SHARED_SEED: u64 = 0;
 /// Seed of the hashes of partitions that one workspace has for itself.
@@ -62,3 +67,18 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+/// Partition of a request that is sent to an engine now. The configuration in force decides, since it
+/// may have changed after the request arrived; but a workspace that was isolated then stays so for it.
+pub fn of_call<P>(node: &Node<P>, call: &Call) -> Partition {
+    let workspace = call.workspace.as_ref().map(|workspace| &*workspace.name);
+    let isolated = workspace.filter(|name| call.catalog.is_isolated(name));
+    if let Some(name) = isolated {
+        return Partition::own(name);
+    }
+    let in_force = node.catalog.load();
+    in_force
+        .as_ref()
+        .unwrap_or(&call.catalog)
+        .partition(workspace)
+}
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -142,12 +142,6 @@
         }
     }
 
-    /// Partition of the engines' caches for the request.
-    pub fn partition(&self) -> Partition {
-        let workspace = self.workspace.as_ref().map(|workspace| &*workspace.name);
-        self.catalog.partition(workspace)
-    }
-
     /// Salt of the prefixes that engines with this build and version of the weights cache for the
     /// request in a partition.
     pub fn cache_salt(&self, partition: Partition, version: u64, build: &str) -> u64 {
