Engines are used only if their weights are known

What callers saw: nothing in their answers.

Cause: an endpoint without weights was taken for a plain service, although the configuration says that its service is one of engines.

Change: such an endpoint is not eligible for requests to a service of engines, as one whose row cannot be read.

--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -310,7 +310,10 @@
     let registration = &endpoint.registration;
     let served = endpoint.model().map(|served| &**served);
     let serves = served.is_none() || query.model.is_none() || served == query.model;
+    // Without its weights, no salt keeps apart what the engine has cached.
+    let has_unknown_weights = query.engine().is_some() && endpoint.version() == 0;
     if !serves
+        || has_unknown_weights
         || registration.leaving
         || query.tried.contains(&registration.name)
         || !query.allows_build(&registration.build)
