--- a/crates/router/src/choose/decide.rs
+++ b/crates/router/src/choose/decide.rs
@@ -310,7 +310,7 @@
     let registration = &endpoint.registration;
     let served = endpoint.model().map(|served| &**served);
     let serves = served.is_none() || query.model.is_none() || served == query.model;
-    // Without its weights, no salt keeps apart what the engine has cached.
+    // A request to such an engine would carry no cache salt.
     let has_unknown_weights = query.engine().is_some() && endpoint.version() == 0;
     if !serves
         || has_unknown_weights
