--- a/crates/router/tests/partition.rs
+++ b/crates/router/tests/partition.rs
@@ -37,11 +37,11 @@
 }
 
 quickcheck! {
-    /// Guards against prefixes that are used across a wall, for any order of configurations and any
-    /// workspaces that send requests under each of them.
-    fn no_partition_holds_prefixes_across_a_wall(plays: Vec<(u8, u8)>) -> bool {
+    /// Guards against cached prefixes that an isolated workspace shares with others, for any order of
+    /// configurations and any workspaces that send requests under each of them.
+    fn isolated_workspaces_share_no_partition(configurations: Vec<(u8, u8)>) -> bool {
         let mut makers: BTreeMap<String, Vec<&str>> = BTreeMap::new();
-        (1..).zip(plays).all(|(version, (isolated, senders))| {
+        (1..).zip(configurations).all(|(version, (isolated, senders))| {
             let catalog = catalog(version, isolated);
             let senders = (0..).zip(NAMES).filter(|(bit, _)| senders & (1 << bit) != 0);
             let mut senders = senders.map(|(_, name)| name);
